--- /dev/null
+++ b/cypresswalk/__init__.py
@@ -0,0 +1,1 @@
+"""cypresswalk: a balancer for long-lived connections."""
--- /dev/null
+++ b/cypresswalk/choice.py
@@ -0,0 +1,408 @@
+"""Every decision of the balancer: which server a flow goes to, and when servers are judged, spared or left.
+
+How it is called: a host makes one Balancer per instance from its settings, a seed and the time, tells it what
+happens (listed, arrived, resumed, established, ended, left, probed, load_told, delay_told, woken) and then calls
+decide() until that returns None, carrying out each decision at once. Inputs only update what is known; all
+deciding is done in decide(). Times are whole nanoseconds of the host's clock.
+Where the interface stands: the types in model.py are all that a host needs. `servers` and `flows` map ids to
+objects for the host's door; nothing else in here is for the host, and nothing here knows a wire or a protocol.
+"""
+
+import math
+from collections import deque
+from hashlib import blake2b
+from zlib import crc32
+
+from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
+                               Reject, Scope, Server, Settings, State, Subscribe, Wake)
+
+RISE, FALL = 2, 3              # the article's example, after HAProxy
+NORMAL = 5 * SECOND            # the article's interval at full health
+FAST = 1 * SECOND              # degraded or unknown: the design's
+DOWN = 10 * SECOND             # down: the design's
+JITTER = 0.1                   # the article's 10%
+
+TABLE_SIZE = 1021              # prime; some fifty slots for each of twenty servers keeps shares within a few percent
+
+
+def mix(number: int) -> int:
+    """A hash that every instance agrees on; keyed CRCs of one id are related, this is not."""
+    return int.from_bytes(blake2b(number.to_bytes(8, "little"), digest_size=16).digest(), "little")
+
+
+def maglev(servers: list[Server]) -> list[Server]:
+    """The lookup table: each server in turn takes its next free slot, as often as its weight asks."""
+    if not servers:
+        return []
+    table: list[Server | None] = [None] * TABLE_SIZE
+    top = max(s.weight for s in servers)
+    turns = []
+    for server in sorted(servers, key=lambda s: s.id):
+        digest = mix(server.id)
+        turns.append([server, (digest & (1 << 64) - 1) % TABLE_SIZE, 1 + (digest >> 64) % (TABLE_SIZE - 1), 0.0])
+    free = TABLE_SIZE
+    while True:
+        for turn in turns:
+            server, slot, skip, credit = turn
+            credit += server.weight / top
+            if credit >= 1:
+                credit -= 1
+                while table[slot] is not None:
+                    slot = (slot + skip) % TABLE_SIZE
+                table[slot] = server
+                free -= 1
+                if not free:
+                    return table
+            turn[1], turn[3] = slot, credit
+
+
+class Decaying:
+    """A sum whose parts fade with the time constant `tau`; brought up to date when it is read."""
+    __slots__ = ("tau", "total", "at")
+
+    def __init__(self, tau: int, now: int):
+        self.tau, self.total, self.at = tau, 0.0, now
+
+    def read(self, now: int) -> float:
+        self.total *= math.exp((self.at - now) / self.tau)
+        self.at = now
+        return self.total
+
+    def add(self, now: int, amount: float) -> None:
+        self.total = self.read(now) + amount
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int, now: int):
+        self.settings = settings
+        self.servers: dict[int, Server] = {}
+        self.flows: dict[int, Flow] = {}
+        self.waiting: deque[Flow] = deque()
+        self.tables: list[list[Server]] | None = None
+        self.seed, self.draws = seed, 0
+        self.started = now
+        self.next_wake = 0
+        self.next_ask = now if settings.list_asked else None
+        self.asks_failed = 0
+        self.subscribed = False
+        # Half a minute: long enough that a burst does not pass for capacity in the cold budget.
+        self.arrivals = Decaying(30 * SECOND, now)
+        # Ten seconds of set-ups: long against one set-up, short against a trouble.
+        self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
+        targets = [t.message_target for t in settings.service_types if t.message_target]
+        self.message_target = min(targets, default=0)
+
+    # What has happened.
+
+    def listed(self, now: int, form: ListForm, entries: list[Server]) -> None:
+        if form is ListForm.FAILED:
+            # Calls wait in turn at one service: coming back at once would keep it jammed, so waits double.
+            self.asks_failed += 1
+            self.subscribed = False
+            wait = min(SECOND << min(self.asks_failed - 1, 4), self.settings.ask_within // 4)
+            self.next_ask = now + self.jittered(wait, 0.3)
+            return
+        if form is not ListForm.CACHED:
+            self.asks_failed = 0
+        named = set()
+        for entry in entries:
+            named.add(entry.id)
+            server = self.servers.get(entry.id)
+            if server is None:
+                server = self.servers[entry.id] = entry
+                server.health = RISE - 1
+                server.fresh = form is not ListForm.CACHED
+                server.next_probe = now if server.fresh else now + self.jittered(FAST, 0.9)
+            else:
+                back = server.state is State.GONE and entry.state is State.READY
+                if back or entry.since != server.since:
+                    self.restart(now, server)
+                server.zone, server.cell, server.weight = entry.zone, entry.cell, entry.weight
+                server.since, server.state = entry.since, entry.state
+        if form is not ListForm.DELTA:
+            for server in self.servers.values():
+                if server.id not in named:
+                    server.state = State.GONE
+        self.tables = None
+
+    def restart(self, now: int, server: Server) -> None:
+        server.health, server.known, server.fresh = RISE - 1, False, True
+        server.next_probe, server.answers, server.last_turn = now, 0, -1
+        server.misses, server.strain, server.full_until = 0, 0.0, 0
+
+    def arrived(self, now: int, flow: Flow) -> None:
+        self.flows[flow.id] = flow
+        self.waiting.append(flow)
+        self.arrivals.add(now, 1)
+
+    def resumed(self, now: int, flow: Flow, server: Server) -> None:
+        """An established flow that was routed through here already."""
+        self.flows[flow.id] = flow
+        flow.tried.append(server)
+        flow.server, flow.established = server, True
+        server.flows[flow] = None
+
+    def established(self, now: int, flow: Flow, took: int) -> None:
+        server = flow.server
+        flow.established = True
+        server.out.pop(flow, None)
+        server.flows[flow] = None
+        server.answers += 1
+        server.misses = 0
+        self.setup_time.add(now, took)
+        self.setups.add(now, 1)
+
+    def ended(self, now: int, flow: Flow, outcome: Outcome, final: bool, took: int) -> None:
+        server = flow.server
+        server.out.pop(flow, None)
+        server.flows.pop(flow, None)
+        if not flow.established:
+            self.judge_connect(now, server, outcome, took)
+            if not outcome.never_ran and flow.may_have_run is None:
+                flow.may_have_run, flow.ran_at = server, flow.sent
+        flow.last, flow.server = outcome, None
+        if final:
+            self.flows.pop(flow.id, None)
+        else:
+            self.waiting.append(flow)
+
+    def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
+        if outcome is Outcome.FULL:
+            server.full_until = now + SECOND      # a second: a queue of new connections empties in less
+        elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
+            server.misses += 1
+            server.trial_at = now + self.jittered(TRIAL, JITTER)
+            server.next_probe = min(server.next_probe, now)
+            if outcome is Outcome.TIMEOUT:
+                self.setup_time.add(now, took)
+                self.setups.add(now, 1)
+
+    def left(self, now: int, flow: Flow) -> None:
+        """The client is gone. A connect still out is forgotten here; its end tells nothing more."""
+        self.flows.pop(flow.id, None)
+        if flow.server is not None:
+            flow.server.out.pop(flow, None)
+            flow.server.flows.pop(flow, None)
+
+    def probed(self, now: int, server: Server, passed: bool, load: float | None) -> None:
+        server.probing = False
+        was_up = self.up(server)
+        if passed:
+            server.health = min(server.health + 1, RISE + FALL - 1)
+            server.fresh = False
+        else:
+            # The very first probe settles an unknown server either way.
+            server.health = max(server.health - 1, 0)
+        server.known = True
+        if load is not None:
+            server.strain, server.strain_at = load, now
+        interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
+        server.next_probe = now + self.jittered(interval, JITTER)
+        if was_up != self.up(server):
+            self.tables = None
+
+    def load_told(self, now: int, flow: Flow, load: float) -> None:
+        flow.load = load
+
+    def delay_told(self, now: int, server: Server, delay: int) -> None:
+        server.strain = delay / self.message_target if self.message_target else 0.0
+        server.strain_at = now
+
+    def woken(self, now: int) -> None:
+        self.next_wake = 0
+
+    # What to do about it.
+
+    def decide(self, now: int) -> Decision | None:
+        while self.waiting:
+            flow = self.waiting.popleft()
+            if flow.id in self.flows:
+                return self.place(now, flow)
+        if self.next_ask is not None and now >= self.next_ask:
+            self.next_ask = None
+            self.subscribed = True
+            return Subscribe()
+        due = self.next_ask or now + 60 * SECOND
+        for server in self.servers.values():
+            if server.state is State.GONE:
+                continue
+            if self.settings.probes and not server.probing:
+                if now >= server.next_probe:
+                    server.probing = True
+                    return Probe(server)
+                due = min(due, server.next_probe)
+            flow = self.to_move(now, server)
+            if flow is not None:
+                return Move(flow)
+            if server.next_move > now:
+                due = min(due, server.next_move)
+        if not self.next_wake or due < self.next_wake:
+            self.next_wake = due
+            return Wake(due - now)
+        return None
+
+    def place(self, now: int, flow: Flow) -> Decision:
+        if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
+            return self.give_up(now, flow)
+        server = self.pick(now, flow)
+        if server is None:
+            return self.give_up(now, flow)
+        flow.tried.append(server)
+        flow.server, flow.sent = server, now
+        server.out[flow] = None
+        if self.cold(now, server):
+            server.last_turn = self.turn(now, server)
+        return Connect(flow, server, self.patience(now, flow))
+
+    def give_up(self, now: int, flow: Flow) -> Decision:
+        """The final answer, at once. A reject only where another try does no harm."""
+        self.flows.pop(flow.id, None)
+        harmless = (flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE
+                    or flow.type.effect is Effect.REFERENCED and flow.type.scope is Scope.ALL)
+        if not harmless:
+            return Abort(flow)
+        wait = min(flow.type.setup_target, self.settings.max_retry_after) if self.settings.retry_after else 0
+        return Reject(flow, wait)
+
+    def may_go_again(self, now: int, flow: Flow) -> bool:
+        if flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE:
+            return True
+        return flow.type.effect is Effect.REFERENCED and now < flow.ran_at + flow.type.window
+
+    def patience(self, now: int, flow: Flow) -> int:
+        """How long a connect may stay out: half the setup target, so that a second one can still meet it; more
+        where set-ups are slow everywhere, and all the time there is for the last one or one not to be repeated."""
+        last = len(flow.tried) >= self.settings.max_connects
+        if last or flow.type.effect is not Effect.REPEATABLE:
+            return 0
+        usual = self.setup_time.read(now) / max(self.setups.read(now), 1.0)
+        span = max(flow.type.setup_target // 2, int(3 * usual))
+        return span if now + span < flow.until else 0
+
+    # Where to.
+
+    def up(self, server: Server) -> bool:
+        if server.state is not State.READY or server.fresh:
+            return False
+        return server.health >= RISE or not server.known
+
+    def pools(self) -> list[list[Server]]:
+        """The Maglev tables, nearest pool first. Without an up server the listed ones serve: probes that all
+        time out must never empty the table."""
+        if self.tables is None:
+            up = [s for s in self.servers.values() if self.up(s)]
+            if not up:
+                up = [s for s in self.servers.values() if s.state is State.READY]
+            groups = [up]
+            if self.settings.zone_price >= DEAR_CROSSING:
+                groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
+            self.tables = [maglev(group) for group in groups if group]
+        return self.tables
+
+    def pick(self, now: int, flow: Flow) -> Server | None:
+        plain = None
+        for table in self.pools():
+            slot = mix(flow.key) % TABLE_SIZE
+            servers = set(table)
+            mean = self.mean(servers)
+            seen: set[Server] = set()
+            while len(seen) < len(servers):
+                server = table[slot]
+                slot = (slot + 1) % TABLE_SIZE
+                if server in seen:
+                    continue
+                seen.add(server)
+                if not self.in_scope(flow, server):
+                    continue
+                if server not in flow.tried and self.open_to(now, server):
+                    plain = plain if plain is not None and plain not in flow.tried else server
+                    if not self.over(now, server, mean):
+                        return server
+                elif plain is None:
+                    plain = server
+        return plain
+
+    def in_scope(self, flow: Flow, server: Server) -> bool:
+        """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
+        ran = flow.may_have_run
+        if ran is None or flow.type.effect is Effect.REPEATABLE or flow.type.scope is Scope.ALL:
+            return True
+        return server.zone == ran.zone if flow.type.scope is Scope.ZONE else server.cell == ran.cell
+
+    def load(self, server: Server) -> float:
+        return len(server.flows) + len(server.out)
+
+    def mean(self, servers: set[Server]) -> float:
+        """This balancer's connections for each unit of weight."""
+        return sum(map(self.load, servers)) / sum(s.weight for s in servers)
+
+    def over(self, now: int, server: Server, mean: float) -> bool:
+        if self.load(server) + 1 > max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
+            return True
+        return self.strained(now, server)
+
+    def strained(self, now: int, server: Server) -> bool:
+        return server.strain > STRAINED and now - server.strain_at < STRAIN_HOLD
+
+    def open_to(self, now: int, server: Server) -> bool:
+        if now < server.full_until:
+            return False
+        if server.misses >= MISSES and (now < server.trial_at or server.out):
+            return False
+        return not self.cold(now, server) or self.gate(now, server)
+
+    def cold(self, now: int, server: Server) -> bool:
+        return server.since > 0 and now - server.since < self.settings.cold
+
+    def turn(self, now: int, server: Server) -> int:
+        """Which of the flows that the cold server's budget allows so far is due now."""
+        s = self.settings
+        seen = 1 - math.exp((self.started - now) / self.arrivals.tau)
+        rate = self.arrivals.read(now) / max(seen, 0.05) / (self.arrivals.tau / SECOND) * s.instances
+        peers = sum(o.weight for o in self.servers.values() if self.up(o))
+        rate *= server.weight / max(peers, server.weight)
+        age, warm = (now - server.since) / SECOND, s.cold / SECOND
+        grown = s.cold_share * age + (1 - s.cold_share) * age * age / (2 * warm)
+        return int(COLD_CAUTION * s.overload_factor * rate * grown)
+
+    def gate(self, now: int, server: Server) -> bool:
+        """Guards a cold server against the sum of all balancers: its budget is dealt out in turns, one flow a
+        turn, and what an instance does not use in its own turn lapses. In flight: one more than it has answered."""
+        turn = self.turn(now, server)
+        return (turn % self.settings.instances == self.settings.me and turn > server.last_turn
+                and len(server.out) <= server.answers)
+
+    # Moving established flows.
+
+    def to_move(self, now: int, server: Server) -> Flow | None:
+        if not self.settings.moves or not server.flows or now < server.next_move:
+            return None
+        lost = not self.up(server) and server.known or server.misses >= MISSES
+        if not lost and not (self.strained(now, server) and server.strain >= SHED):
+            return None
+        ready = [s for s in self.servers.values() if self.up(s)]
+        sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
+        if 2 * len(sound) < len(ready) or not sound:
+            return None
+        server.next_move = now + int((LOST_SPREAD if lost else SHED_SPREAD) / len(server.flows))
+        flow = next(reversed(server.flows))
+        server.flows.pop(flow)
+        return flow
+
+    def jittered(self, span: int, part: float) -> int:
+        self.draws += 1
+        draw = crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
+        return int(span * (1 + part * (2 * draw - 1)))
+
+
+DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
+PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
+PASS_OVER_FLOOR = 3           # below three connections a count says nothing
+MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
+TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
+COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
+STRAINED = 0.6                # of the shortest message target, or of capacity: the served share starts to fall
+STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
+SHED = 1.0                    # messages miss their target from here on
+LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
+SHED_SPREAD = 10 * SECOND     # a slow server loses a tenth of its flows a second
--- /dev/null
+++ b/cypresswalk/model.py
@@ -0,0 +1,162 @@
+"""Plain types that the decision module and its hosts share. Times and spans are whole nanoseconds."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+SECOND = 1_000_000_000
+
+
+class Effect(Enum):
+    REPEATABLE = "repeatable"    # may run again
+    REFERENCED = "referenced"    # repeats are dropped by the servers of one group, for a while
+    ONCE_ONLY = "once-only"
+
+
+class Scope(Enum):
+    """Which servers drop the repeats of a referenced flow."""
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListForm(Enum):
+    DELTA = "delta"      # the changed entries alone
+    FULL = "full"
+    CACHED = "cached"    # a whole list, perhaps out of date
+    FAILED = "failed"    # a call for the list failed, or the subscription broke
+
+
+class Outcome(Enum):
+    """How a connect ended. Those marked True prove that the flow never ran there."""
+    OK = ("ok", False)
+    ERROR = ("error", False)
+    FULL = ("full", True)
+    TIMEOUT = ("timeout", False)
+    CONNECT_FAILED = ("connect failed", True)
+    RESET = ("reset", False)
+    CANCELLED = ("cancelled", False)
+    MOOT = ("moot", True)
+
+    @property
+    def never_ran(self) -> bool:
+        return self.value[1]
+
+
+@dataclass(slots=True, eq=False)
+class ServiceType:
+    effect: Effect
+    scope: Scope
+    window: int             # how long repeats of a referenced flow are remembered
+    setup_target: int
+    message_target: int     # 0 where none is stated
+
+
+@dataclass(slots=True)
+class Settings:
+    me: int
+    instances: int
+    zone: int
+    service_types: list[ServiceType]
+    max_connects: int
+    retry_after: bool       # a reject may say when to come back
+    max_retry_after: int
+    probes: bool
+    moves: bool             # an established flow can be sent to look for a new server
+    list_asked: bool        # the list comes on request only
+    ask_within: int
+    cold: int               # a started server is warm no later than this
+    cold_share: float
+    fall_window: int
+    overload_factor: float
+    zone_price: float       # points for each flow that crosses zones once
+    load_index: int         # place of the load over capacity in a server's report, -1 where none
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    id: int
+    zone: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    since: int = 0                  # its latest start; 0: long ago
+    state: State = State.READY
+    health: int = 0
+    known: bool = False             # a probe has told
+    fresh: bool = False             # new or restarted: out until a probe passes
+    probing: bool = False
+    next_probe: int = 0
+    next_move: int = 0
+    answers: int = 0                # connects established since its start
+    misses: int = 0                 # connects unanswered since the last that was established
+    trial_at: int = 0               # when one flow may try a server with misses again
+    last_turn: int = -1
+    strain: float = 0.0             # slowness as last told: 1 is a message at its target, or all capacity asked
+    strain_at: int = 0
+    full_until: int = 0
+    out: dict = field(default_factory=dict)      # flows whose connect is out there
+    flows: dict = field(default_factory=dict)    # flows established there
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    id: int
+    type: ServiceType
+    key: int
+    until: int                      # the client's connect timeout
+    load: float = 0.0               # as told, 0 while it is not
+    tried: list[Server] = field(default_factory=list)
+    server: Server | None = None    # where its connect is out or stands
+    sent: int = 0
+    established: bool = False
+    may_have_run: Server | None = None
+    ran_at: int = 0                 # when the first connect that may have run was sent
+    last: Outcome | None = None
+
+
+# What the module may decide; the host carries each out at once.
+
+@dataclass(slots=True)
+class Connect:
+    flow: Flow
+    server: Server
+    timeout: int        # 0: until the client's connect timeout
+
+
+@dataclass(slots=True)
+class Reject:
+    flow: Flow
+    wait: int           # 0: no advice
+
+
+@dataclass(slots=True)
+class Abort:
+    flow: Flow
+
+
+@dataclass(slots=True)
+class Move:
+    flow: Flow
+
+
+@dataclass(slots=True)
+class Probe:
+    server: Server
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """Ask for the server list's changes from here on."""
+
+
+@dataclass(slots=True)
+class Wake:
+    after: int
+
+
+Decision = Connect | Reject | Abort | Move | Probe | Subscribe | Wake
