--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -78,15 +78,16 @@
         self.servers: dict[int, Server] = {}
         self.flows: dict[int, Flow] = {}
         self.waiting: deque[Flow] = deque()
-        self.tables: list[list[Server]] | None = None
+        self.tables: list[tuple[list[Server], list[Server]]] | None = None
         self.seed, self.draws = seed, 0
         self.started = now
         self.next_wake = 0
+        self.next_look = now          # when a server next wants a probe or gives up a flow
         self.next_ask = now if settings.list_asked else None
         self.asks_failed = 0
         self.subscribed = False
         # Half a minute: long enough that a burst does not pass for capacity in the cold budget.
-        self.arrivals = Decaying(30 * SECOND, now)
+        self.carried = Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
@@ -124,16 +125,16 @@
                 if server.id not in named:
                     server.state = State.GONE
         self.tables = None
+        self.next_look = now
 
     def restart(self, now: int, server: Server) -> None:
         server.health, server.known, server.fresh = RISE - 1, False, True
         server.next_probe, server.answers, server.last_turn = now, 0, -1
-        server.misses, server.strain, server.full_until = 0, 0.0, 0
+        server.misses, server.strain, server.full_until, server.limit = 0, 0.0, 0, math.inf
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
         self.waiting.append(flow)
-        self.arrivals.add(now, 1)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
         """An established flow that was routed through here already."""
@@ -156,7 +157,12 @@
         server = flow.server
         server.out.pop(flow, None)
         server.flows.pop(flow, None)
-        if not flow.established:
+        if flow.established:
+            if outcome is Outcome.OK:
+                self.carried.add(now, 1)
+            elif outcome is Outcome.RESET and self.up(server):
+                self.cut(now, server)
+        else:
             self.judge_connect(now, server, outcome, took)
             if not outcome.never_ran and flow.may_have_run is None:
                 flow.may_have_run, flow.ran_at = server, flow.sent
@@ -166,6 +172,12 @@
         else:
             self.waiting.append(flow)
 
+    def cut(self, now: int, server: Server) -> None:
+        """A running server that drops connections holds more than it can. Guards against the jam in which what it
+        dropped comes straight back, is set up again at a price, and is dropped again."""
+        if now - server.cut_at >= CUT_EVERY:
+            server.limit, server.cut_at = max(CUT * (self.load(server) + 1), 1.0), now
+
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
             server.full_until = now + SECOND      # a second: a queue of new connections empties in less
@@ -173,6 +185,7 @@
             server.misses += 1
             server.trial_at = now + self.jittered(TRIAL, JITTER)
             server.next_probe = min(server.next_probe, now)
+            self.next_look = now
             if outcome is Outcome.TIMEOUT:
                 self.setup_time.add(now, took)
                 self.setups.add(now, 1)
@@ -200,6 +213,7 @@
         server.next_probe = now + self.jittered(interval, JITTER)
         if was_up != self.up(server):
             self.tables = None
+        self.next_look = now
 
     def load_told(self, now: int, flow: Flow, load: float) -> None:
         flow.load = load
@@ -207,6 +221,7 @@
     def delay_told(self, now: int, server: Server, delay: int) -> None:
         server.strain = delay / self.message_target if self.message_target else 0.0
         server.strain_at = now
+        self.next_look = now
 
     def woken(self, now: int) -> None:
         self.next_wake = 0
@@ -222,7 +237,18 @@
             self.next_ask = None
             self.subscribed = True
             return Subscribe()
-        due = self.next_ask or now + 60 * SECOND
+        if now >= self.next_look:
+            decision = self.look(now)
+            if decision is not None:
+                return decision
+        due = min(self.next_look, self.next_ask or self.next_look)
+        if not self.next_wake or due < self.next_wake:
+            self.next_wake = due
+            return Wake(due - now)
+        return None
+
+    def look(self, now: int) -> Decision | None:
+        due = now + 60 * SECOND       # nothing to do: any time will do
         for server in self.servers.values():
             if server.state is State.GONE:
                 continue
@@ -236,9 +262,7 @@
                 return Move(flow)
             if server.next_move > now:
                 due = min(due, server.next_move)
-        if not self.next_wake or due < self.next_wake:
-            self.next_wake = due
-            return Wake(due - now)
+        self.next_look = due
         return None
 
     def place(self, now: int, flow: Flow) -> Decision:
@@ -286,7 +310,7 @@
             return False
         return server.health >= RISE or not server.known
 
-    def pools(self) -> list[list[Server]]:
+    def pools(self) -> list[tuple[list[Server], list[Server]]]:
         """The Maglev tables, nearest pool first. Without an up server the listed ones serve: probes that all
         time out must never empty the table."""
         if self.tables is None:
@@ -296,14 +320,13 @@
             groups = [up]
             if self.settings.zone_price >= DEAR_CROSSING:
                 groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
-            self.tables = [maglev(group) for group in groups if group]
+            self.tables = [(maglev(group), group) for group in groups if group]
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
         plain = None
-        for table in self.pools():
+        for table, servers in self.pools():
             slot = mix(flow.key) % TABLE_SIZE
-            servers = set(table)
             mean = self.mean(servers)
             seen: set[Server] = set()
             while len(seen) < len(servers):
@@ -314,6 +337,8 @@
                 seen.add(server)
                 if not self.in_scope(flow, server):
                     continue
+                if self.load(server) + 1 > self.limit(now, server):
+                    continue
                 if server not in flow.tried and self.open_to(now, server):
                     plain = plain if plain is not None and plain not in flow.tried else server
                     if not self.over(now, server, mean):
@@ -332,7 +357,13 @@
     def load(self, server: Server) -> float:
         return len(server.flows) + len(server.out)
 
-    def mean(self, servers: set[Server]) -> float:
+    def limit(self, now: int, server: Server) -> float:
+        # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
+        if now - server.cut_at > 10 * LIMIT_GROWTH:
+            return math.inf
+        return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
+
+    def mean(self, servers: list[Server]) -> float:
         """This balancer's connections for each unit of weight."""
         return sum(map(self.load, servers)) / sum(s.weight for s in servers)
 
@@ -357,8 +388,8 @@
     def turn(self, now: int, server: Server) -> int:
         """Which of the flows that the cold server's budget allows so far is due now."""
         s = self.settings
-        seen = 1 - math.exp((self.started - now) / self.arrivals.tau)
-        rate = self.arrivals.read(now) / max(seen, 0.05) / (self.arrivals.tau / SECOND) * s.instances
+        seen = 1 - math.exp((self.started - now) / self.carried.tau)
+        rate = self.carried.read(now) / max(seen, 0.05) / (self.carried.tau / SECOND) * s.instances
         peers = sum(o.weight for o in self.servers.values() if self.up(o))
         rate *= server.weight / max(peers, server.weight)
         age, warm = (now - server.since) / SECOND, s.cold / SECOND
@@ -399,6 +430,9 @@
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
 PASS_OVER_FLOOR = 3           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
+CUT = 0.9                     # one step back under what was too much, as is common for additive-increase limits
+CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
+LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
 COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
 STRAINED = 0.6                # of the shortest message target, or of capacity: the served share starts to fall
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -99,6 +99,8 @@
     strain: float = 0.0             # slowness as last told: 1 is a message at its target, or all capacity asked
     strain_at: int = 0
     full_until: int = 0
+    limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
+    cut_at: int = 0
     out: dict = field(default_factory=dict)      # flows whose connect is out there
     flows: dict = field(default_factory=dict)    # flows established there
 
