--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -324,28 +324,29 @@
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
-        plain = None
+        """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
+        spare = last = None
         for table, servers in self.pools():
-            slot = mix(flow.key) % TABLE_SIZE
-            mean = self.mean(servers)
-            seen: set[Server] = set()
-            while len(seen) < len(servers):
-                server = table[slot]
-                slot = (slot + 1) % TABLE_SIZE
-                if server in seen:
-                    continue
-                seen.add(server)
-                if not self.in_scope(flow, server):
-                    continue
-                if self.load(server) + 1 > self.limit(now, server):
-                    continue
-                if server not in flow.tried and self.open_to(now, server):
-                    plain = plain if plain is not None and plain not in flow.tried else server
-                    if not self.over(now, server, mean):
+            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s)]
+            sound = [s for s in allowed if s not in flow.tried and self.sound(now, s)]
+            mean = self.mean(sound) if sound else 0.0
+            for server in self.along(table, mix(flow.key) % TABLE_SIZE, allowed):
+                if server in sound:
+                    if self.load(server) + 1 <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                         return server
-                elif plain is None:
-                    plain = server
-        return plain
+                    spare = spare or server
+                last = last or server
+        return spare or last
+
+    def along(self, table: list[Server], slot: int, servers: list[Server]):
+        """Those servers in the order in which the table names them from that slot on."""
+        left = set(servers)
+        while left:
+            server = table[slot]
+            slot = (slot + 1) % TABLE_SIZE
+            if server in left:
+                left.discard(server)
+                yield server
 
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
@@ -367,20 +368,20 @@
         """This balancer's connections for each unit of weight."""
         return sum(map(self.load, servers)) / sum(s.weight for s in servers)
 
-    def over(self, now: int, server: Server, mean: float) -> bool:
-        if self.load(server) + 1 > max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
-            return True
-        return self.strained(now, server)
-
-    def strained(self, now: int, server: Server) -> bool:
-        return server.strain > STRAINED and now - server.strain_at < STRAIN_HOLD
-
-    def open_to(self, now: int, server: Server) -> bool:
-        if now < server.full_until:
+    def admits(self, now: int, server: Server) -> bool:
+        """Whether the server may be sent a flow at all, however bad the others look."""
+        if now < server.full_until or self.load(server) + 1 > self.limit(now, server):
             return False
+        return not self.cold(now, server) or self.gate(now, server)
+
+    def sound(self, now: int, server: Server) -> bool:
+        """Guards against a server that passes probes yet answers no flow, and against slow servers' full share."""
         if server.misses >= MISSES and (now < server.trial_at or server.out):
             return False
-        return not self.cold(now, server) or self.gate(now, server)
+        return not self.strained(now, server)
+
+    def strained(self, now: int, server: Server) -> bool:
+        return server.strain > STRAINED and now - server.strain_at < STRAIN_HOLD
 
     def cold(self, now: int, server: Server) -> bool:
         return server.since > 0 and now - server.since < self.settings.cold
