Cut a server's limit when messages miss their target, and move the excess off

Cause of the jams: a server that is over keeps its pile, and every flow on it is served late, until load leaves.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -175,8 +175,10 @@
     def cut(self, now: int, server: Server) -> None:
         """A running server that drops connections holds more than it can. Guards against the jam in which what it
         dropped comes straight back, is set up again at a price, and is dropped again."""
-        if now - server.cut_at >= CUT_EVERY:
-            server.limit, server.cut_at = max(CUT * (self.load(server) + 1), 1.0), now
+        if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
+            return
+        server.limit = max(CUT * min(self.load(server), self.limit(now, server)), 1.0)
+        server.cut_at, server.cut_strain = now, server.strain
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -208,7 +210,8 @@
             server.health = max(server.health - 1, 0)
         server.known = True
         if load is not None:
-            server.strain, server.strain_at = load, now
+            server.strain = load
+            self.judge_strain(now, server)
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
         server.next_probe = now + self.jittered(interval, JITTER)
         if was_up != self.up(server):
@@ -220,9 +223,16 @@
 
     def delay_told(self, now: int, server: Server, delay: int) -> None:
         server.strain = delay / self.message_target if self.message_target else 0.0
-        server.strain_at = now
+        self.judge_strain(now, server)
         self.next_look = now
 
+    def judge_strain(self, now: int, server: Server) -> None:
+        server.strain_at = now
+        if server.strain >= SHED:
+            self.cut(now, server)
+        else:
+            server.cut_strain = 0.0
+
     def woken(self, now: int) -> None:
         self.next_wake = 0
 
@@ -410,13 +420,19 @@
         if not self.settings.moves or not server.flows or now < server.next_move:
             return None
         lost = not self.up(server) and server.known or server.misses >= MISSES
-        if not lost and not (self.strained(now, server) and server.strain >= SHED):
-            return None
+        if not lost:
+            if self.load(server) <= self.limit(now, server):
+                return None
+            server.next_move = now + SHED_EVERY
+            return self.release(server)
         ready = [s for s in self.servers.values() if self.up(s)]
         sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
         if 2 * len(sound) < len(ready) or not sound:
             return None
-        server.next_move = now + int((LOST_SPREAD if lost else SHED_SPREAD) / len(server.flows))
+        server.next_move = now + int(LOST_SPREAD / len(server.flows))
+        return self.release(server)
+
+    def release(self, server: Server) -> Flow:
         flow = next(reversed(server.flows))
         server.flows.pop(flow)
         return flow
@@ -431,7 +447,8 @@
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
 PASS_OVER_FLOOR = 3           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
-CUT = 0.9                     # one step back under what was too much, as is common for additive-increase limits
+CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
+EASING = 0.8                  # strain that falls like this is on its way out without a further step
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
@@ -440,4 +457,4 @@
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
-SHED_SPREAD = 10 * SECOND     # a slow server loses a tenth of its flows a second
+SHED_EVERY = SECOND // 20     # what is over a limit goes within a second or two, not in one burst of set-ups
