--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -71,6 +71,7 @@
             ask_within=nanoseconds(rules["askWithin"], "askWithin"), cold=nanoseconds(rules["cold"], "cold"),
             cold_share=rules["coldShare"], fall_window=nanoseconds(rules["fall"], "fall"),
             overload_factor=rules["overloadFactor"], zone_price=params["deductions"].get("crossZone", 0.0),
+            move_price=params["deductions"].get("moves", 0.0),
             load_index=fields.index("x0") if "x0" in fields else -1)
     except KeyError as error:
         raise WireError(f"settings: {error} is missing or unknown") from None
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -421,9 +421,12 @@
             return None
         lost = not self.up(server) and server.known or server.misses >= MISSES
         if not lost:
-            if self.load(server) <= self.limit(now, server):
+            if self.load(server) > self.limit(now, server):
+                server.next_move = now + SHED_EVERY
+            elif self.homeward(now, server):
+                server.next_move = now + int(HOMING_SPREAD / len(server.flows))
+            else:
                 return None
-            server.next_move = now + SHED_EVERY
             return self.release(server)
         ready = [s for s in self.servers.values() if self.up(s)]
         sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
@@ -432,6 +435,15 @@
         server.next_move = now + int(LOST_SPREAD / len(server.flows))
         return self.release(server)
 
+    def homeward(self, now: int, server: Server) -> bool:
+        """Whether flows that stand in another zone should come home: where a crossing costs many times a move, and
+        while no near server is strained or has had to be relieved."""
+        if server.zone == self.settings.zone or self.settings.zone_price < HOMING * self.settings.move_price:
+            return False
+        near = [s for s in self.servers.values() if s.zone == self.settings.zone and self.up(s)]
+        return bool(near) and self.settings.zone_price >= DEAR_CROSSING and all(
+            now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
+
     def release(self, server: Server) -> Flow:
         flow = next(reversed(server.flows))
         server.flows.pop(flow)
@@ -444,6 +456,8 @@
 
 
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
+HOMING = 3                    # a move costs its client a gap besides its price
+HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
 PASS_OVER_FLOOR = 3           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -75,6 +75,7 @@
     fall_window: int
     overload_factor: float
     zone_price: float       # points for each flow that crosses zones once
+    move_price: float       # points for each flow moved once
     load_index: int         # place of the load over capacity in a server's report, -1 where none
 
 
