--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -161,7 +161,7 @@
             if outcome is Outcome.OK:
                 self.carried.add(now, 1)
             elif outcome is Outcome.RESET and self.up(server):
-                self.cut(now, server, CUT)
+                self.cut(now, server)
         else:
             self.judge_connect(now, server, outcome, took)
             if not outcome.never_ran and flow.may_have_run is None:
@@ -172,12 +172,13 @@
         else:
             self.waiting.append(flow)
 
-    def cut(self, now: int, server: Server, share: float) -> None:
-        """Leaves the server this share of what it holds. Guards against the jam in which a full server's pile makes
-        all its messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
-        if now - server.cut_at >= CUT_EVERY:
-            server.limit = max(min(share * self.load(server), self.limit(now, server)), 1.0)
-            server.cut_at = now
+    def cut(self, now: int, server: Server) -> None:
+        """One step down from what was too much. Guards against the jam in which a full server's pile makes all its
+        messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
+        if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
+            return
+        server.limit = max(CUT * min(self.load(server), self.limit(now, server)), 1.0)
+        server.cut_at, server.cut_strain = now, server.strain
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -209,9 +210,7 @@
             server.health = max(server.health - 1, 0)
         server.known = True
         if load is not None:
-            server.strain, server.strain_at = load, now
-            if load >= SHED:
-                self.cut(now, server, HEADROOM / load)
+            self.judge_strain(now, server, load)
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
         server.next_probe = now + self.jittered(interval, JITTER)
         if was_up != self.up(server):
@@ -222,16 +221,14 @@
         flow.load = load
 
     def delay_told(self, now: int, server: Server, delay: int) -> None:
-        """Messages wait behind the work piled up, which grows by what is asked beyond capacity. So the growth tells
-        how much is asked, and what may stay is what lets the pile drain in a while."""
-        span = now - server.strain_at
-        before = server.delay if span < STRAIN_HOLD else 0
-        asked = max(1 + (delay - before) / min(max(span, SECOND // 10), SECOND), 0.1)
-        server.delay, server.strain_at = delay, now
-        server.strain = delay / self.message_target if self.message_target else 0.0
-        keep = max(HEADROOM - delay / DRAIN, KEEP_LEAST)
-        if server.strain >= SHED and keep < asked:
-            self.cut(now, server, keep / asked)
+        self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
+
+    def judge_strain(self, now: int, server: Server, strain: float) -> None:
+        server.strain, server.strain_at = strain, now
+        if strain >= SHED:
+            self.cut(now, server)
+        else:
+            server.cut_strain = 0.0
         self.next_look = now
 
     def woken(self, now: int) -> None:
@@ -462,12 +459,10 @@
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
 PASS_OVER_FLOOR = 3           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
-CUT = 0.85                    # dropped connections alone do not tell by how much it is over
-HEADROOM = 0.9                # of capacity: the served share falls as it comes near
-DRAIN = 3 * SECOND            # a pile should be gone in about this time
-KEEP_LEAST = 0.6              # a delay of seconds is no proof that a server can do nothing
+CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
+EASING = 0.8                  # strain that falls like this is on its way out without a further step
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
-LIMIT_GROWTH = 10 * SECOND    # a tenth a second: loads and neighbours change within seconds
+LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
 COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
 STRAINED = 0.6                # of the shortest message target, or of capacity: the served share starts to fall
