Four set-ups in flight a server, flows held for room; limits kept at the first strain

Cause: after a mass return, twenty and more set-ups at once piled up at one server, which then dropped all it had; near servers were filled to their edge while far ones stood idle.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -78,6 +78,8 @@
         self.servers: dict[int, Server] = {}
         self.flows: dict[int, Flow] = {}
         self.waiting: deque[Flow] = deque()
+        self.held: deque[Flow] = deque()
+        self.freed = False
         self.tables: list[tuple[list[Server], list[Server]]] | None = None
         self.seed, self.draws = seed, 0
         self.started = now
@@ -147,6 +149,7 @@
         server = flow.server
         flow.established = True
         server.out.pop(flow, None)
+        self.freed = True
         server.flows[flow] = None
         server.answers += 1
         server.misses = 0
@@ -156,6 +159,7 @@
     def ended(self, now: int, flow: Flow, outcome: Outcome, final: bool, took: int) -> None:
         server = flow.server
         server.out.pop(flow, None)
+        self.freed = True
         server.flows.pop(flow, None)
         if flow.established:
             if outcome is Outcome.OK:
@@ -177,8 +181,11 @@
         messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
         if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
             return
-        server.limit = max(CUT * min(self.load(server), self.limit(now, server)), 1.0)
-        server.cut_at, server.cut_strain = now, server.strain
+        self.keep_at(now, server, CUT * self.load(server))
+        server.cut_strain = server.strain
+
+    def keep_at(self, now: int, server: Server, load: float) -> None:
+        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0), now
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -210,7 +217,7 @@
             server.health = max(server.health - 1, 0)
         server.known = True
         if load is not None:
-            self.judge_strain(now, server, load)
+            self.judge_strain(now, server, (load - LOAD_EASY) / (1 - LOAD_EASY))
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
         server.next_probe = now + self.jittered(interval, JITTER)
         if was_up != self.up(server):
@@ -229,6 +236,8 @@
             self.cut(now, server)
         else:
             server.cut_strain = 0.0
+            if strain >= STRAINED:
+                self.keep_at(now, server, self.load(server))
         self.next_look = now
 
     def woken(self, now: int) -> None:
@@ -237,10 +246,18 @@
     # What to do about it.
 
     def decide(self, now: int) -> Decision | None:
+        # Any of them may be due first: flows that were tried before are held for a shorter time.
+        if self.held and (self.freed or any(now >= flow.held_until for flow in self.held)):
+            self.waiting.extendleft(reversed(self.held))
+            self.held.clear()
+        self.freed = False
         while self.waiting:
             flow = self.waiting.popleft()
             if flow.id in self.flows:
-                return self.place(now, flow)
+                decision = self.place(now, flow)
+                if decision is not None:
+                    return decision
+                self.held.append(flow)
         if self.next_ask is not None and now >= self.next_ask:
             self.next_ask = None
             self.subscribed = True
@@ -249,7 +266,8 @@
             decision = self.look(now)
             if decision is not None:
                 return decision
-        due = min(self.next_look, self.next_ask or self.next_look)
+        due = min([self.next_look] + [self.next_ask] * (self.next_ask is not None)
+                  + [flow.held_until for flow in self.held])
         if not self.next_wake or due < self.next_wake:
             self.next_wake = due
             return Wake(due - now)
@@ -273,12 +291,16 @@
         self.next_look = due
         return None
 
-    def place(self, now: int, flow: Flow) -> Decision:
+    def place(self, now: int, flow: Flow) -> Decision | None:
+        """None holds the flow for a while: set-ups under way will make room."""
         if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
             return self.give_up(now, flow)
         server = self.pick(now, flow)
         if server is None:
-            return self.give_up(now, flow)
+            if not flow.held_until:
+                flow.held_until = min(now + flow.type.setup_target // 2, flow.until)
+            busy = any(len(s.out) >= IN_FLIGHT for s in self.servers.values())
+            return None if busy and now < flow.held_until else self.give_up(now, flow)
         flow.tried.append(server)
         flow.server, flow.sent = server, now
         server.out[flow] = None
@@ -378,7 +400,7 @@
 
     def admits(self, now: int, server: Server) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
-        if now < server.full_until or self.load(server) + 1 > self.limit(now, server):
+        if now < server.full_until or len(server.out) >= IN_FLIGHT or self.load(server) + 1 > self.limit(now, server):
             return False
         return not self.cold(now, server) or self.gate(now, server)
 
@@ -465,7 +487,9 @@
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
 COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
-STRAINED = 0.6                # of the shortest message target, or of capacity: the served share starts to fall
+STRAINED = 0.3                # of the shortest message target: the served share starts to fall
+LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
+IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -117,6 +117,7 @@
     tried: list[Server] = field(default_factory=list)
     server: Server | None = None    # where its connect is out or stands
     sent: int = 0
+    held_until: int = 0
     established: bool = False
     may_have_run: Server | None = None
     ran_at: int = 0                 # when the first connect that may have run was sent
