--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,138 @@
+"""A host that plays by hand what happens to one balancer and checks the rules at every decision."""
+
+from cypresswalk.choice import Balancer
+from cypresswalk.model import (SECOND, Abort, Connect, Effect, Flow, ListForm, Move, Outcome, Probe, Reject, Scope,
+                               Server, ServiceType, Settings, State, Subscribe, Wake)
+
+START = 5_000 * SECOND
+
+
+def service(effect=Effect.REPEATABLE, scope=Scope.ALL) -> ServiceType:
+    return ServiceType(effect, scope, window=SECOND, setup_target=SECOND // 2, message_target=SECOND // 10)
+
+
+def settings(**changes) -> Settings:
+    values = dict(me=0, instances=1, zone=0, service_types=[service()], max_connects=3, retry_after=False,
+                  max_retry_after=0, probes=True, moves=True, list_asked=False, ask_within=10 * SECOND,
+                  cold=20 * SECOND, cold_share=0.2, fall_window=2 * SECOND, overload_factor=3.0, zone_price=0.0,
+                  move_price=0.0, load_index=-1)
+    return Settings(**values | changes)
+
+
+def entries(count: int, **changes) -> list[Server]:
+    return [Server(id=7 + 13 * i, zone=i % 2, cell=i % 3, **changes) for i in range(count)]
+
+
+class Ledger:
+    """Drives one balancer; every decision it pulls is held against the rules."""
+
+    def __init__(self, servers: int = 4, **changes):
+        self.now = START
+        self.balancer = Balancer(settings(**changes), seed=1, now=self.now)
+        self.state: dict[int, State] = {}
+        self.open: dict[int, Flow] = {}
+        self.history: dict[int, list] = {}       # flow id: [server, sent, outcome or None] for each connect
+        self.probes, self.connects, self.answers = [], [], {}
+        self.asked = 0
+        self.wake = None
+        self.last_id = 0
+        self.list(ListForm.CACHED, entries(servers))
+
+    def list(self, form, listed):
+        if form in (ListForm.FULL, ListForm.CACHED):
+            self.state = {ident: State.GONE for ident in self.state}
+        self.state |= {entry.id: entry.state for entry in listed}
+        self.balancer.listed(self.now, form, listed)
+        self.pull()
+
+    def arrive(self, kind=0, key=None, lasts=2 * SECOND) -> Flow:
+        self.last_id += 1
+        flow = Flow(self.last_id, self.balancer.settings.service_types[kind], key or self.last_id, self.now + lasts)
+        self.open[flow.id], self.history[flow.id] = flow, []
+        self.balancer.arrived(self.now, flow)
+        self.pull()
+        return flow
+
+    def accept(self, flow):
+        self.balancer.established(self.now, flow, SECOND // 100)
+        self.open.pop(flow.id)
+        self.answers[flow.id] = "established"
+        self.pull()
+
+    def end(self, flow, outcome):
+        final = flow.established
+        self.history[flow.id][-1][2] = outcome
+        self.balancer.ended(self.now, flow, outcome, final, SECOND // 100)
+        self.pull()
+
+    def answer_probe(self, server, passed, load=None):
+        self.probes.remove(server)
+        self.balancer.probed(self.now, server, passed, load)
+        self.pull()
+
+    def pass_time(self, span):
+        """Plays time up to `span` on: wake-ups, and the time-outs of connects whose flow's time is up."""
+        end = self.now + span
+        while True:
+            due = [(flow.until, 0, flow.id) for flow in self.open.values()] + ([(self.wake, 1, 0)] if self.wake else [])
+            if not due or min(due)[0] > end:
+                break
+            at, what, ident = min(due)
+            self.now = max(at, self.now)
+            if what:
+                self.wake = None
+                self.balancer.woken(self.now)
+                self.pull()
+            else:
+                flow = self.open[ident]
+                assert flow.server is not None, "held past its connect timeout"
+                self.end(flow, Outcome.TIMEOUT)
+                assert ident not in self.open, "no final answer at the connect timeout"
+        self.now = end
+
+    def pull(self):
+        for _ in range(10_000):
+            decision = self.balancer.decide(self.now)
+            match decision:
+                case None:
+                    return
+                case Connect(flow, server, _):
+                    self.check_connect(flow, server)
+                    self.history[flow.id].append([server, self.now, None])
+                    self.connects.append((self.now, server))
+                case Reject(flow, _) | Abort(flow):
+                    assert flow.id in self.open, "answered twice"
+                    assert self.open.pop(flow.id) is flow
+                    past = self.history[flow.id]
+                    assert all(outcome is not None for *_, outcome in past), "answered with a connect out"
+                    harmless = (flow.type.effect is Effect.REPEATABLE or all(o.never_ran for *_, o in past)
+                                or flow.type.effect is Effect.REFERENCED and flow.type.scope is Scope.ALL)
+                    assert harmless or isinstance(decision, Abort), "a reject though a repeat may do harm"
+                    self.answers[flow.id] = type(decision).__name__.lower()
+                case Move(flow):
+                    assert flow.established and flow.id in self.balancer.flows
+                    self.end(flow, Outcome.CANCELLED)
+                case Probe(server):
+                    assert server not in self.probes
+                    self.probes.append(server)
+                case Subscribe():
+                    self.asked += 1
+                case Wake(after):
+                    assert after >= 0
+                    self.wake = min(self.wake or self.now + after, self.now + after)
+        raise AssertionError("decisions without end")
+
+    def check_connect(self, flow, server):
+        assert flow.id in self.open, "a connect after the final answer"
+        assert self.now < flow.until
+        assert self.state[server.id] is State.READY, "a connect to a server that drains or is gone"
+        past = self.history[flow.id]
+        assert len(past) < self.balancer.settings.max_connects
+        assert all(outcome is not None for *_, outcome in past), "two connects out"
+        ran = [(s, sent) for s, sent, outcome in past if not outcome.never_ran]
+        if ran and flow.type.effect is not Effect.REPEATABLE:
+            assert flow.type.effect is Effect.REFERENCED, "a once-only flow may run twice"
+            first, sent = ran[0]
+            assert self.now < sent + flow.type.window, "past the window"
+            alike = {Scope.ALL: True, Scope.ZONE: first.zone == server.zone, Scope.CELL: first.cell == server.cell}
+            assert alike[flow.type.scope], "outside the group that drops repeats"
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,240 @@
+"""Plain cases: what the design says, and each failure found."""
+
+from cypresswalk.choice import FALL, IN_FLIGHT, RISE, TABLE_SIZE, maglev
+from cypresswalk.model import SECOND, Effect, ListForm, Outcome, Server, State
+from helpers import START, Ledger, entries, service
+
+
+def settle(ledger, rounds=4):
+    """Lets every server pass a few probes."""
+    for _ in range(rounds):
+        for server in list(ledger.probes):
+            ledger.answer_probe(server, True)
+        ledger.pass_time(2 * SECOND)
+    for server in list(ledger.probes):
+        ledger.answer_probe(server, True)
+
+
+def fill(ledger, count, **flow):
+    for _ in range(count):
+        ledger.accept(ledger.arrive(**flow))
+
+
+def test_counter_needs_fall_failures_to_go_down_and_rise_passes_to_return():
+    ledger = Ledger(2)
+    settle(ledger, 8)
+    server = ledger.balancer.servers[7]
+    assert server.health == RISE + FALL - 1
+
+    def probe(passed):
+        while server not in ledger.probes:
+            ledger.pass_time(SECOND)
+        ledger.answer_probe(server, passed)
+        return ledger.balancer.up(server)
+
+    assert [probe(False) for _ in range(FALL)] == [True] * (FALL - 1) + [False]
+    for _ in range(RISE):
+        probe(False)
+    assert [probe(True) for _ in range(RISE)] == [False] * (RISE - 1) + [True]
+
+
+def test_the_first_probe_settles_a_fresh_balancer():
+    ledger = Ledger(2)
+    server = ledger.balancer.servers[7]
+    assert ledger.balancer.up(server)
+    while server not in ledger.probes:
+        ledger.pass_time(SECOND // 10)
+    ledger.answer_probe(server, False)
+    assert not ledger.balancer.up(server)
+
+
+def test_losing_one_server_moves_few_other_keys_and_weights_count():
+    servers = entries(10)
+    before, after = maglev(servers), maglev(servers[1:])
+    moved = sum(a is not b for a, b in zip(before, after) if a is not servers[0])
+    assert moved < 0.1 * TABLE_SIZE
+    servers[0].weight = 3.0
+    assert 2.5 < maglev(servers).count(servers[0]) / maglev(servers).count(servers[1]) < 3.5
+
+
+def test_instances_agree_on_a_key_whatever_their_seed():
+    ledgers = [Ledger(6, me=me, instances=3) for me in range(3)]
+    for key in range(1, 40):
+        flows = [ledger.arrive(key=key) for ledger in ledgers]
+        assert len({flow.server.id for flow in flows}) == 1
+        for ledger, flow in zip(ledgers, flows):
+            ledger.accept(flow)
+
+
+def test_a_hot_key_is_passed_over_to_other_servers():
+    ledger = Ledger(4)
+    settle(ledger)
+    fill(ledger, 40, key=5)
+    counts = [len(server.flows) for server in ledger.balancer.servers.values()]
+    assert max(counts) <= 14
+
+
+def test_a_new_server_stays_out_until_a_probe_passes():
+    ledger = Ledger(1)
+    settle(ledger)
+    ledger.list(ListForm.DELTA, [Server(id=99)])
+    fill(ledger, 12)
+    new = ledger.balancer.servers[99]
+    assert not new.flows
+    ledger.answer_probe(new, True)
+    fill(ledger, 12)
+    assert ledger.balancer.up(new) and new.flows
+
+
+def test_every_server_failing_its_probes_leaves_flows_a_server():
+    ledger = Ledger(3)
+    for _ in range(6):
+        ledger.pass_time(3 * SECOND)
+        for server in list(ledger.probes):
+            ledger.answer_probe(server, False)
+    assert not any(map(ledger.balancer.up, ledger.balancer.servers.values()))
+    assert ledger.arrive().server is not None
+
+
+def test_a_stale_cached_list_gives_way_to_the_fresh_one():
+    ledger = Ledger(3)
+    ledger.list(ListForm.FULL, entries(3)[:2])
+    gone = ledger.balancer.servers[33]
+    assert gone.state is State.GONE
+    fill(ledger, 20)
+    assert not gone.flows
+
+
+def test_a_server_that_passes_probes_but_answers_no_flow_is_put_aside():
+    ledger = Ledger(3)
+    settle(ledger)
+    mute = ledger.balancer.servers[7]
+    for _ in range(60):
+        flow = ledger.arrive()
+        while flow.id in ledger.open:
+            if flow.server is mute:
+                ledger.end(flow, Outcome.TIMEOUT)
+            else:
+                ledger.accept(flow)
+    assert sum(server is mute for _, server in ledger.connects) <= 4
+    assert all(answer == "established" for answer in ledger.answers.values())
+
+
+def test_once_only_is_aborted_after_a_time_out_and_goes_on_after_a_failed_connect():
+    ledger = Ledger(3, service_types=[service(Effect.ONCE_ONLY)])
+    flow = ledger.arrive()
+    ledger.end(flow, Outcome.CONNECT_FAILED)
+    assert flow.server is not None
+    ledger.end(flow, Outcome.TIMEOUT)
+    assert ledger.answers[flow.id] == "abort"
+
+
+def test_all_balancers_at_once_keep_a_cold_servers_budget():
+    instances, window, factor, share, warm = 3, 2, 3.0, 0.2, 20
+    ledgers = [Ledger(1, me=me, instances=instances) for me in range(instances)]
+    for ledger in ledgers:
+        settle(ledger)
+        for _ in range(120):      # one flow ends well every half second: 2 a second at each, 6 in all
+            fill(ledger, 1)
+            ledger.pass_time(SECOND // 2)
+            ledger.end(next(iter(ledger.balancer.servers[7].flows)), Outcome.OK)
+    now = ledgers[0].now
+    for ledger in ledgers:
+        ledger.list(ListForm.DELTA, [Server(id=99, since=now)])
+        ledger.answer_probe(ledger.balancer.servers[99], True)
+    for _ in range(100):
+        for ledger in ledgers:
+            for _ in range(3):
+                flow = ledger.arrive()
+                if flow.id in ledger.open:
+                    ledger.accept(flow)
+            ledger.pass_time(SECOND // 10)
+    sent = sorted(at for ledger in ledgers for at, server in ledger.connects if server.id == 99)
+    assert len(sent) > 5
+    for first in sent:
+        age = (first - now) / SECOND
+        capacity = 6 * min(1.0, share + (1 - share) * age / warm)
+        assert sum(first <= at < first + window * SECOND for at in sent) <= factor * capacity * window + 1
+
+
+def test_a_cold_server_is_no_last_resort():
+    # Seen on a rolling release: with all others full, flows were sent past a cold server's spent budget.
+    ledger = Ledger(2)
+    settle(ledger)
+    ledger.list(ListForm.DELTA, [Server(id=99, since=ledger.now)])
+    ledger.answer_probe(ledger.balancer.servers[99], True)
+    for ident in (7, 20):
+        ledger.balancer.servers[ident].full_until = ledger.now + SECOND
+    for _ in range(30):
+        ledger.arrive()
+    assert sum(server.id == 99 for _, server in ledger.connects) <= 1
+
+
+def test_a_jam_is_relieved_by_moving_flows_off_and_rejecting_at_once():
+    ledger = Ledger(2)
+    settle(ledger)
+    fill(ledger, 40)
+    for server in ledger.balancer.servers.values():
+        ledger.balancer.delay_told(ledger.now, server, SECOND)
+    ledger.pull()
+    ledger.pass_time(SECOND // 2)
+    held = sum(len(server.flows) for server in ledger.balancer.servers.values())
+    assert held <= 36
+    assert ledger.answers[ledger.arrive().id] == "reject"
+
+
+def test_a_limit_is_forgotten_on_a_clock_far_from_zero():
+    ledger = Ledger(1)
+    assert ledger.balancer.limit(START * 10_000, ledger.balancer.servers[7]) == float("inf")
+
+
+def test_a_mass_return_is_set_up_a_few_at_a_time():
+    ledger = Ledger(2)
+    settle(ledger)
+    flows = [ledger.arrive() for _ in range(12)]
+    assert all(len(server.out) <= IN_FLIGHT for server in ledger.balancer.servers.values())
+    for _ in range(12):
+        for flow in flows:
+            if flow.id in ledger.open and flow.server:
+                ledger.accept(flow)
+    assert all(ledger.answers[flow.id] == "established" for flow in flows)
+
+
+def test_a_held_flow_is_answered_when_it_is_due_though_others_are_held_longer():
+    ledger = Ledger(1, service_types=[service(), service()])
+    ledger.balancer.settings.service_types[1].setup_target = SECOND // 10
+    for _ in range(IN_FLIGHT):
+        ledger.arrive()
+    late, soon = ledger.arrive(0), ledger.arrive(1)
+    ledger.pass_time(SECOND // 10)
+    assert soon.id in ledger.answers and late.id not in ledger.answers
+
+
+def test_flows_come_home_only_where_crossings_are_dear_and_near_servers_are_easy():
+    for price, strained, moved in ((0.0, False, False), (0.2, False, True), (0.2, True, False)):
+        ledger = Ledger(2, zone_price=price, move_price=0.02)
+        settle(ledger)
+        near, far = ledger.balancer.servers[7], ledger.balancer.servers[20]
+        flow = ledger.arrive()
+        ledger.accept(flow)
+        if flow.server is near:
+            near.flows.pop(flow)
+            far.flows[flow], flow.server = None, far
+        if strained:
+            ledger.balancer.delay_told(ledger.now, near, SECOND // 20)
+        ledger.balancer.next_look = ledger.now
+        ledger.pull()
+        assert (flow.id not in ledger.balancer.flows) is moved
+
+
+def test_a_failed_list_call_is_repeated_ever_later_but_within_the_time_to_ask():
+    ledger = Ledger(1, list_asked=True)
+    asked = []
+    for _ in range(6):
+        asked.append(ledger.asked)
+        before = ledger.now
+        ledger.list(ListForm.FAILED, [])
+        while ledger.asked == asked[-1]:
+            ledger.pass_time(SECOND // 10)
+        assert ledger.now - before <= ledger.balancer.settings.ask_within
+    assert asked == [1, 2, 3, 4, 5, 6]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,86 @@
+"""Seeded random runs: the rules hold after every step, whatever happens."""
+
+from dataclasses import replace
+
+from hypothesis import settings as runs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from cypresswalk.model import SECOND, Effect, ListForm, Outcome, Scope, Server, State
+from helpers import Ledger, service
+
+KINDS = [service(), service(Effect.ONCE_ONLY)] + [service(Effect.REFERENCED, scope) for scope in Scope]
+IDENTS = st.integers(0, 6).map(lambda i: 7 + 13 * i)
+
+
+class Run(RuleBasedStateMachine):
+    @initialize(servers=st.integers(0, 5), dear=st.booleans(), asked=st.booleans(), probes=st.booleans())
+    def start(self, servers, dear, asked, probes):
+        self.ledger = Ledger(servers, service_types=KINDS, zone_price=0.1 if dear else 0.0, list_asked=asked,
+                             probes=probes)
+
+    @rule(kind=st.integers(0, len(KINDS) - 1), key=st.integers(1, 9), lasts=st.integers(1, 4))
+    def arrive(self, kind, key, lasts):
+        self.ledger.arrive(kind, key, lasts * SECOND // 2)
+
+    @precondition(lambda self: any(f.server for f in self.ledger.open.values()))
+    @rule(which=st.integers(0, 99), outcome=st.sampled_from([*Outcome, *[None] * 8]))
+    def answer(self, which, outcome):
+        out = [f for f in self.ledger.open.values() if f.server]
+        flow = out[which % len(out)]
+        if outcome in (None, Outcome.OK):
+            self.ledger.accept(flow)
+        else:
+            self.ledger.end(flow, outcome)
+
+    @rule(which=st.integers(0, 99), outcome=st.sampled_from([Outcome.OK, Outcome.RESET, Outcome.CANCELLED]))
+    def close(self, which, outcome):
+        standing = [f for f in self.ledger.balancer.flows.values() if f.established]
+        if standing:
+            self.ledger.end(standing[which % len(standing)], outcome)
+
+    @rule(which=st.integers(0, 99))
+    def leave(self, which):
+        if self.ledger.open:
+            flow = self.ledger.open.pop(sorted(self.ledger.open)[which % len(self.ledger.open)])
+            self.ledger.balancer.left(self.ledger.now, flow)
+            self.ledger.pull()
+
+    @rule(which=st.integers(0, 99), passed=st.booleans(), load=st.none() | st.floats(0, 3))
+    def probe(self, which, passed, load):
+        if self.ledger.probes:
+            self.ledger.answer_probe(self.ledger.probes[which % len(self.ledger.probes)], passed, load)
+
+    @rule(ident=IDENTS, delay=st.integers(0, SECOND))
+    def slow(self, ident, delay):
+        if ident in self.ledger.balancer.servers:
+            self.ledger.balancer.delay_told(self.ledger.now, self.ledger.balancer.servers[ident], delay)
+            self.ledger.pull()
+
+    @rule(form=st.sampled_from([ListForm.DELTA, ListForm.FULL]), age=st.integers(0, 30),
+          listed=st.dictionaries(IDENTS, st.sampled_from(list(State)), max_size=6))
+    def relist(self, form, age, listed):
+        since = self.ledger.now - age * SECOND if age < 20 else 0
+        rows = [Server(id=ident, zone=ident % 2, cell=ident % 3, since=since, state=state)
+                for ident, state in listed.items() if form is ListForm.DELTA or state is not State.GONE]
+        known = self.ledger.balancer.servers
+        rows = [replace(row, zone=known[row.id].zone, cell=known[row.id].cell) if row.id in known else row
+                for row in rows]
+        self.ledger.list(form, rows)
+
+    @rule()
+    def list_fails(self):
+        self.ledger.list(ListForm.FAILED, [])
+
+    @rule(tenths=st.integers(0, 30))
+    def wait(self, tenths):
+        self.ledger.pass_time(tenths * SECOND // 10)
+
+    def teardown(self):
+        if hasattr(self, "ledger"):
+            self.ledger.pass_time(5 * SECOND)
+            assert not self.ledger.open, "a flow without a final answer"
+
+
+TestRules = Run.TestCase
+TestRules.settings = runs(derandomize=True, max_examples=150, stateful_step_count=50, deadline=None, database=None)
