--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -81,11 +81,11 @@
         return self.balancer(who).listed, FORMS[form], entries
 
     def flow(self, balancer, reader):
-        ident, qos, _, key, until, _, group, _ = reader.take(FLOW, "flow")
+        ident, qos, customer, key, until, _, group, _ = reader.take(FLOW, "flow")
         types = balancer.settings.service_types
         if qos >= len(types):
             raise WireError(f"flow {ident}: no service type {qos}")
-        return Flow(ident, types[qos], group or key or ident, nanoseconds(until, "giveUpAt"))
+        return Flow(ident, types[qos], group or key or ident, nanoseconds(until, "giveUpAt"), customer)
 
     def arrival(self, who, reader, now):
         balancer = self.balancer(who)
--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -63,7 +63,8 @@
                 ServiceType(EFFECTS[t["semantics"]], Scope(t.get("group", "all")),
                             nanoseconds(t.get("window", 0.0), "window"),
                             nanoseconds(t["setupTarget"], "setupTarget"),
-                            nanoseconds(targets[i] if i < len(targets) else 0.0, "messageAim"))
+                            nanoseconds(targets[i] if i < len(targets) else 0.0, "messageAim"),
+                            t.get("payoff", 1.0))
                 for i, t in enumerate(params["serviceTypes"])],
             max_connects=limits["maxConnects"], retry_after=limits["retryAfter"],
             max_retry_after=nanoseconds(limits["maxRetryAfter"], "maxRetryAfter"), probes=limits["probes"],
@@ -72,6 +73,8 @@
             cold_share=rules["coldShare"], fall_window=nanoseconds(rules["fall"], "fall"),
             overload_factor=rules["overloadFactor"], zone_price=params["deductions"].get("crossZone", 0.0),
             move_price=params["deductions"].get("moves", 0.0),
+            shares=list(extra.get("tenantQuotaConnections", [])),
+            overage_payoff=params.get("overagePayoff", 1.0),
             load_index=fields.index("x0") if "x0" in fields else -1)
     except KeyError as error:
         raise WireError(f"settings: {error} is missing or unknown") from None
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -55,6 +55,7 @@
     window: int             # how long repeats of a referenced flow are remembered
     setup_target: int
     message_target: int     # 0 where none is stated
+    payoff: float
 
 
 @dataclass(slots=True)
@@ -76,6 +77,8 @@
     overload_factor: float
     zone_price: float       # points for each flow that crosses zones once
     move_price: float       # points for each flow moved once
+    shares: list[float]     # for each customer the standing flows within its share, all balancers together
+    overage_payoff: float   # what a flow beyond the share is worth, as a part
     load_index: int         # place of the load over capacity in a server's report, -1 where none
 
 
@@ -113,6 +116,7 @@
     type: ServiceType
     key: int
     until: int                      # the client's connect timeout
+    customer: int = 0
     load: float = 0.0               # as told, 0 while it is not
     tried: list[Server] = field(default_factory=list)
     server: Server | None = None    # where its connect is out or stands
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,14 +8,15 @@
 
 
 def service(effect=Effect.REPEATABLE, scope=Scope.ALL) -> ServiceType:
-    return ServiceType(effect, scope, window=SECOND, setup_target=SECOND // 2, message_target=SECOND // 10)
+    return ServiceType(effect, scope, window=SECOND, setup_target=SECOND // 2, message_target=SECOND // 10, payoff=1.0)
 
 
 def settings(**changes) -> Settings:
     values = dict(me=0, instances=1, zone=0, service_types=[service()], max_connects=3, retry_after=False,
                   max_retry_after=0, probes=True, moves=True, list_asked=False, ask_within=10 * SECOND,
                   cold=20 * SECOND, cold_share=0.2, fall_window=2 * SECOND, overload_factor=3.0, zone_price=0.0,
-                  move_price=0.0, load_index=-1)
+                  move_price=0.0, shares=[],
+                  overage_payoff=1.0, load_index=-1)
     return Settings(**values | changes)
 
 
