--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -92,6 +92,7 @@
         self.carried = Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
+        self.told, self.tolds = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
 
@@ -144,13 +145,14 @@
         flow.tried.append(server)
         flow.server, flow.established = server, True
         server.flows[flow] = None
+        server.load += flow.load
 
     def established(self, now: int, flow: Flow, took: int) -> None:
         server = flow.server
         flow.established = True
         server.out.pop(flow, None)
-        self.freed = True
         server.flows[flow] = None
+        self.freed = True
         server.answers += 1
         server.misses = 0
         self.setup_time.add(now, took)
@@ -158,9 +160,7 @@
 
     def ended(self, now: int, flow: Flow, outcome: Outcome, final: bool, took: int) -> None:
         server = flow.server
-        server.out.pop(flow, None)
-        self.freed = True
-        server.flows.pop(flow, None)
+        self.drop(flow)
         if flow.established:
             if outcome is Outcome.OK:
                 self.carried.add(now, 1)
@@ -181,7 +181,7 @@
         messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
         if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
             return
-        self.keep_at(now, server, CUT * self.load(server))
+        self.keep_at(now, server, CUT * server.load)
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
@@ -203,8 +203,16 @@
         """The client is gone. A connect still out is forgotten here; its end tells nothing more."""
         self.flows.pop(flow.id, None)
         if flow.server is not None:
-            flow.server.out.pop(flow, None)
-            flow.server.flows.pop(flow, None)
+            self.drop(flow)
+
+    def drop(self, flow: Flow) -> None:
+        server = flow.server
+        if flow in server.out or flow in server.flows:
+            server.out.pop(flow, None)
+            server.flows.pop(flow, None)
+            # Sums of fractions drift; an empty server holds nothing.
+            server.load = server.load - flow.load if server.out or server.flows else 0.0
+        self.freed = True
 
     def probed(self, now: int, server: Server, passed: bool, load: float | None) -> None:
         server.probing = False
@@ -225,6 +233,11 @@
         self.next_look = now
 
     def load_told(self, now: int, flow: Flow, load: float) -> None:
+        self.told.add(now, load)
+        self.tolds.add(now, 1)
+        load *= self.tolds.read(now) / max(self.told.read(now), 1e-9)
+        if flow.server is not None and (flow in flow.server.out or flow in flow.server.flows):
+            flow.server.load += load - flow.load
         flow.load = load
 
     def delay_told(self, now: int, server: Server, delay: int) -> None:
@@ -237,7 +250,7 @@
         else:
             server.cut_strain = 0.0
             if strain >= STRAINED:
-                self.keep_at(now, server, self.load(server))
+                self.keep_at(now, server, server.load)
         self.next_look = now
 
     def woken(self, now: int) -> None:
@@ -304,6 +317,7 @@
         flow.tried.append(server)
         flow.server, flow.sent = server, now
         server.out[flow] = None
+        server.load += flow.load
         if self.cold(now, server):
             server.last_turn = self.turn(now, server)
         return Connect(flow, server, self.patience(now, flow))
@@ -362,7 +376,7 @@
             mean = self.mean(sound) if sound else 0.0
             for server in self.along(table, mix(flow.key) % TABLE_SIZE, allowed):
                 if server in sound:
-                    if self.load(server) + 1 <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
+                    if server.load + 1 <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                         return server
                     spare = spare or server
                 last = last or server
@@ -385,9 +399,6 @@
             return True
         return server.zone == ran.zone if flow.type.scope is Scope.ZONE else server.cell == ran.cell
 
-    def load(self, server: Server) -> float:
-        return len(server.flows) + len(server.out)
-
     def limit(self, now: int, server: Server) -> float:
         # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
         if now - server.cut_at > 10 * LIMIT_GROWTH:
@@ -395,12 +406,12 @@
         return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
 
     def mean(self, servers: list[Server]) -> float:
-        """This balancer's connections for each unit of weight."""
-        return sum(map(self.load, servers)) / sum(s.weight for s in servers)
+        """This balancer's connections for each unit of weight, counted by their load where that is told."""
+        return sum(s.load for s in servers) / sum(s.weight for s in servers)
 
     def admits(self, now: int, server: Server) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
-        if now < server.full_until or len(server.out) >= IN_FLIGHT or self.load(server) + 1 > self.limit(now, server):
+        if now < server.full_until or len(server.out) >= IN_FLIGHT or server.load + 1 > self.limit(now, server):
             return False
         return not self.cold(now, server) or self.gate(now, server)
 
@@ -441,7 +452,7 @@
             return None
         lost = not self.up(server) and server.known or server.misses >= MISSES
         if not lost:
-            if self.load(server) > self.limit(now, server):
+            if server.load > self.limit(now, server):
                 server.next_move = now + SHED_EVERY
             elif self.homeward(now, server):
                 server.next_move = now + int(HOMING_SPREAD / len(server.flows))
@@ -468,17 +479,15 @@
         """The flow there that is worth least for what it asks; the newest of equals."""
         groups = Counter(flow.key for flow in server.flows)
         standing = Counter(flow.customer for s in self.servers.values() for flow in s.flows)
-        told = [flow.load for flow in server.flows if flow.load]
-        usual = sum(told) / len(told) if told else 1.0
 
         def density(flow: Flow) -> float:
             shares, customer = self.settings.shares, flow.customer
             over = customer < len(shares) and standing[customer] * self.settings.instances > shares[customer]
             worth = flow.type.payoff * (self.settings.overage_payoff if over else 1.0)
-            return worth / (flow.load / usual if flow.load else 1.0) / (1 + GROUP_WORK / groups[flow.key])
+            return worth / (flow.load + GROUP_WORK / groups[flow.key])
 
         flow = min(reversed(server.flows), key=density)
-        server.flows.pop(flow)
+        self.drop(flow)
         return flow
 
     def jittered(self, span: int, part: float) -> int:
