--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -14,7 +14,8 @@
 from zlib import crc32
 
 from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
-                               Reject, Scope, Server, Settings, State, Subscribe, Wake)
+                               Reject, Scope, Server, ServiceType, Settings, State, Subscribe,
+                               Wake)
 
 RISE, FALL = 2, 3              # the article's example, after HAProxy
 NORMAL = 5 * SECOND            # the article's interval at full health
@@ -92,7 +93,8 @@
         self.carried = Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
-        self.told, self.tolds = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
+        self.told = {kind: (Decaying(60 * SECOND, now), Decaying(60 * SECOND, now))
+                     for kind in [*settings.service_types, None]}
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
 
@@ -137,6 +139,7 @@
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
+        flow.load = self.usual_load(now, flow.type)
         self.waiting.append(flow)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
@@ -233,12 +236,16 @@
         self.next_look = now
 
     def load_told(self, now: int, flow: Flow, load: float) -> None:
-        self.told.add(now, load)
-        self.tolds.add(now, 1)
-        load *= self.tolds.read(now) / max(self.told.read(now), 1e-9)
-        if flow.server is not None and (flow in flow.server.out or flow in flow.server.flows):
-            flow.server.load += load - flow.load
-        flow.load = load
+        """Told loads swing within seconds and count only as what a service type asks on average."""
+        for told, tolds in (self.told[flow.type], self.told[None]):
+            told.add(now, load)
+            tolds.add(now, 1)
+
+    def usual_load(self, now: int, kind: ServiceType) -> float:
+        (told, tolds), (all_told, all_tolds) = self.told[kind], self.told[None]
+        if tolds.read(now) < 1 or all_told.read(now) <= 0:
+            return 1.0
+        return told.read(now) / tolds.read(now) * all_tolds.read(now) / all_told.read(now)
 
     def delay_told(self, now: int, server: Server, delay: int) -> None:
         self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
