--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -144,10 +144,8 @@
         self.instances.pop(who, None)
 
     def update(self, who, reader, now):
-        ident, level, sort, server, _ = reader.take(UPDATE, "UpdateOf")
+        _, level, sort, server, _ = reader.take(UPDATE, "UpdateOf")
         balancer = self.balancer(who)
-        if sort == 1 and ident in balancer.flows:
-            return balancer.load_told, balancer.flows[ident], level
         if sort == 2 and server in balancer.servers:
             return balancer.delay_told, balancer.servers[server], nanoseconds(level, "delay")
 
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -1,7 +1,7 @@
 """Every decision of the balancer: which server a flow goes to, and when servers are judged, spared or left.
 
 How it is called: a host makes one Balancer per instance from its settings, a seed and the time, tells it what
-happens (listed, arrived, resumed, established, ended, left, probed, load_told, delay_told, woken) and then calls
+happens (listed, arrived, resumed, established, ended, left, probed, delay_told, woken) and then calls
 decide() until that returns None, carrying out each decision at once. Inputs only update what is known; all
 deciding is done in decide(). Times are whole nanoseconds of the host's clock.
 Where the interface stands: the types in model.py are all that a host needs. `servers` and `flows` map ids to
@@ -14,8 +14,7 @@
 from zlib import crc32
 
 from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
-                               Reject, Scope, Server, ServiceType, Settings, State, Subscribe,
-                               Wake)
+                               Reject, Scope, Server, Settings, State, Subscribe, Wake)
 
 RISE, FALL = 2, 3              # the article's example, after HAProxy
 NORMAL = 5 * SECOND            # the article's interval at full health
@@ -93,8 +92,6 @@
         self.carried = Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
-        self.told = {kind: (Decaying(60 * SECOND, now), Decaying(60 * SECOND, now))
-                     for kind in [*settings.service_types, None]}
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
 
@@ -139,7 +136,6 @@
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
-        flow.load = self.usual_load(now, flow.type)
         self.waiting.append(flow)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
@@ -148,7 +144,6 @@
         flow.tried.append(server)
         flow.server, flow.established = server, True
         server.flows[flow] = None
-        server.load += flow.load
 
     def established(self, now: int, flow: Flow, took: int) -> None:
         server = flow.server
@@ -209,12 +204,8 @@
             self.drop(flow)
 
     def drop(self, flow: Flow) -> None:
-        server = flow.server
-        if flow in server.out or flow in server.flows:
-            server.out.pop(flow, None)
-            server.flows.pop(flow, None)
-            # Sums of fractions drift; an empty server holds nothing.
-            server.load = server.load - flow.load if server.out or server.flows else 0.0
+        flow.server.out.pop(flow, None)
+        flow.server.flows.pop(flow, None)
         self.freed = True
 
     def probed(self, now: int, server: Server, passed: bool, load: float | None) -> None:
@@ -235,18 +226,6 @@
             self.tables = None
         self.next_look = now
 
-    def load_told(self, now: int, flow: Flow, load: float) -> None:
-        """Told loads swing within seconds and count only as what a service type asks on average."""
-        for told, tolds in (self.told[flow.type], self.told[None]):
-            told.add(now, load)
-            tolds.add(now, 1)
-
-    def usual_load(self, now: int, kind: ServiceType) -> float:
-        (told, tolds), (all_told, all_tolds) = self.told[kind], self.told[None]
-        if tolds.read(now) < 1 or all_told.read(now) <= 0:
-            return 1.0
-        return told.read(now) / tolds.read(now) * all_tolds.read(now) / all_told.read(now)
-
     def delay_told(self, now: int, server: Server, delay: int) -> None:
         self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
 
@@ -324,7 +303,6 @@
         flow.tried.append(server)
         flow.server, flow.sent = server, now
         server.out[flow] = None
-        server.load += flow.load
         if self.cold(now, server):
             server.last_turn = self.turn(now, server)
         return Connect(flow, server, self.patience(now, flow))
@@ -413,7 +391,7 @@
         return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
 
     def mean(self, servers: list[Server]) -> float:
-        """This balancer's connections for each unit of weight, counted by their load where that is told."""
+        """This balancer's connections for each unit of weight."""
         return sum(s.load for s in servers) / sum(s.weight for s in servers)
 
     def admits(self, now: int, server: Server) -> bool:
@@ -491,7 +469,7 @@
             shares, customer = self.settings.shares, flow.customer
             over = customer < len(shares) and standing[customer] * self.settings.instances > shares[customer]
             worth = flow.type.payoff * (self.settings.overage_payoff if over else 1.0)
-            return worth / (flow.load + GROUP_WORK / groups[flow.key])
+            return worth / (1 + GROUP_WORK / groups[flow.key])
 
         flow = min(reversed(server.flows), key=density)
         self.drop(flow)
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -106,10 +106,13 @@
     limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
     cut_at: int = 0
     cut_strain: float = 0.0         # strain at the last cut, 0 once it was back under
-    load: float = 0.0               # of this balancer's flows there
     out: dict = field(default_factory=dict)      # flows whose connect is out there
     flows: dict = field(default_factory=dict)    # flows established there
 
+    @property
+    def load(self) -> int:
+        return len(self.out) + len(self.flows)
+
 
 @dataclass(slots=True, eq=False)
 class Flow:
@@ -118,7 +121,6 @@
     key: int
     until: int                      # the client's connect timeout
     customer: int = 0
-    load: float = 1.0               # in usual loads, once it is told
     tried: list[Server] = field(default_factory=list)
     server: Server | None = None    # where its connect is out or stands
     sent: int = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -219,7 +219,7 @@
         ledger.accept(flow)
         if flow.server is near:
             near.flows.pop(flow)
-            far.flows[flow], flow.server, near.load, far.load = None, far, 0.0, 1.0
+            far.flows[flow], flow.server = None, far
         if strained:
             ledger.balancer.delay_told(ledger.now, near, SECOND // 20)
         ledger.balancer.next_look = ledger.now
