--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -63,8 +63,7 @@
                 ServiceType(EFFECTS[t["semantics"]], Scope(t.get("group", "all")),
                             nanoseconds(t.get("window", 0.0), "window"),
                             nanoseconds(t["setupTarget"], "setupTarget"),
-                            nanoseconds(targets[i] if i < len(targets) else 0.0, "messageAim"),
-                            t.get("payoff", 1.0))
+                            nanoseconds(targets[i] if i < len(targets) else 0.0, "messageAim"))
                 for i, t in enumerate(params["serviceTypes"])],
             max_connects=limits["maxConnects"], retry_after=limits["retryAfter"],
             max_retry_after=nanoseconds(limits["maxRetryAfter"], "maxRetryAfter"), probes=limits["probes"],
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -461,17 +461,14 @@
             now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
 
     def release(self, server: Server) -> Flow:
-        """The flow there that is worth least for what it asks; the newest of equals."""
+        """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
+        wherever any of it stands; the newest of equals."""
         groups = Counter(flow.key for flow in server.flows)
         standing = Counter(flow.customer for s in self.servers.values() for flow in s.flows)
-
-        def density(flow: Flow) -> float:
-            shares, customer = self.settings.shares, flow.customer
-            over = customer < len(shares) and standing[customer] * self.settings.instances > shares[customer]
-            worth = flow.type.payoff * (self.settings.overage_payoff if over else 1.0)
-            return worth / (1 + GROUP_WORK / groups[flow.key])
-
-        flow = min(reversed(server.flows), key=density)
+        shares = self.settings.shares if self.settings.overage_payoff < 1 else []
+        over = {customer for customer, count in standing.items()
+                if customer < len(shares) and count * self.settings.instances > shares[customer]}
+        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, groups[f.key]))
         self.drop(flow)
         return flow
 
@@ -495,7 +492,6 @@
 COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
-GROUP_WORK = 1                # a group's own work is told nowhere; counted as one more connection
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -55,7 +55,6 @@
     window: int             # how long repeats of a referenced flow are remembered
     setup_target: int
     message_target: int     # 0 where none is stated
-    payoff: float
 
 
 @dataclass(slots=True)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,7 +8,7 @@
 
 
 def service(effect=Effect.REPEATABLE, scope=Scope.ALL) -> ServiceType:
-    return ServiceType(effect, scope, window=SECOND, setup_target=SECOND // 2, message_target=SECOND // 10, payoff=1.0)
+    return ServiceType(effect, scope, window=SECOND, setup_target=SECOND // 2, message_target=SECOND // 10)
 
 
 def settings(**changes) -> Settings:
