--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -179,7 +179,7 @@
         messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
         if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
             return
-        self.keep_at(now, server, CUT * server.load)
+        self.keep_at(now, server, CUT * max(1 - server.delay / DRAIN, KEEP_LEAST) * server.load)
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
@@ -227,6 +227,7 @@
         self.next_look = now
 
     def delay_told(self, now: int, server: Server, delay: int) -> None:
+        server.delay = delay
         self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
 
     def judge_strain(self, now: int, server: Server, strain: float) -> None:
@@ -485,6 +486,8 @@
 PASS_OVER_FLOOR = 3           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
+DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
+KEEP_LEAST = 0.5              # and a cut takes no more than about half
 EASING = 0.8                  # strain that falls like this is on its way out without a further step
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -104,6 +104,7 @@
     full_until: int = 0
     limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
     cut_at: int = 0
+    delay: int = 0                  # of a message there, as last told
     cut_strain: float = 0.0         # strain at the last cut, 0 once it was back under
     out: dict = field(default_factory=dict)      # flows whose connect is out there
     flows: dict = field(default_factory=dict)    # flows established there
