--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -164,6 +164,10 @@
                 self.carried.add(now, 1)
             elif outcome is Outcome.RESET and self.up(server):
                 self.cut(now, server)
+                # A server that drops what it has just set up is as good as full: guards against a few such servers
+                # that draw most flows, one after another, since each leaves room for the next.
+                if now - flow.sent < SETTLED:
+                    server.full_until = now + self.jittered(TRIAL, JITTER)
         else:
             self.judge_connect(now, server, outcome, took)
             if not outcome.never_ran and flow.may_have_run is None:
@@ -488,6 +492,7 @@
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
 DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
 KEEP_LEAST = 0.5              # and a cut takes no more than about half
+SETTLED = 2 * SECOND          # a flow dropped within this time of its connect was among the newest
 EASING = 0.8                  # strain that falls like this is on its way out without a further step
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
