--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -85,7 +85,8 @@
         types = balancer.settings.service_types
         if qos >= len(types):
             raise WireError(f"flow {ident}: no service type {qos}")
-        return Flow(ident, types[qos], group or key or ident, nanoseconds(until, "giveUpAt"), customer)
+        return Flow(ident, types[qos], group or key or ident, nanoseconds(until, "giveUpAt"), customer,
+                    grouped=bool(group))
 
     def arrival(self, who, reader, now):
         balancer = self.balancer(who)
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -142,7 +142,8 @@
         """An established flow that was routed through here already."""
         self.flows[flow.id] = flow
         flow.tried.append(server)
-        flow.server, flow.established = server, True
+        flow.established = True
+        self.take(flow, server)
         server.flows[flow] = None
 
     def established(self, now: int, flow: Flow, took: int) -> None:
@@ -183,7 +184,7 @@
         messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
         if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
             return
-        self.keep_at(now, server, CUT * max(1 - server.delay / DRAIN, KEEP_LEAST) * server.load)
+        self.keep_at(now, server, CUT * max(1 - server.delay / DRAIN, KEEP_LEAST) * self.load(server))
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
@@ -207,11 +208,31 @@
         if flow.server is not None:
             self.drop(flow)
 
+    def take(self, flow: Flow, server: Server) -> None:
+        flow.server = server
+        if flow.grouped:
+            server.groups[flow.key] += 1
+
     def drop(self, flow: Flow) -> None:
-        flow.server.out.pop(flow, None)
-        flow.server.flows.pop(flow, None)
+        server = flow.server
+        if flow in server.out or flow in server.flows:
+            server.out.pop(flow, None)
+            server.flows.pop(flow, None)
+            if flow.grouped:
+                server.groups[flow.key] -= 1
+                if not server.groups[flow.key]:
+                    del server.groups[flow.key]
         self.freed = True
 
+    def load(self, server: Server, flow: Flow | None = None) -> float:
+        """What the server is asked from here, with that flow if one is given, counted in connections. A group asks
+        its own work wherever any of it stands: guards against groups that passing over scatters everywhere."""
+        groups = len(server.groups)
+        if flow is None:
+            return len(server.out) + len(server.flows) + GROUP_WORK * groups
+        groups += flow.grouped and flow.key not in server.groups
+        return len(server.out) + len(server.flows) + 1 + GROUP_WORK * groups
+
     def probed(self, now: int, server: Server, passed: bool, load: float | None) -> None:
         server.probing = False
         was_up = self.up(server)
@@ -241,7 +262,7 @@
         else:
             server.cut_strain = 0.0
             if strain >= STRAINED:
-                self.keep_at(now, server, server.load)
+                self.keep_at(now, server, self.load(server))
         self.next_look = now
 
     def woken(self, now: int) -> None:
@@ -306,7 +327,8 @@
             busy = any(len(s.out) >= IN_FLIGHT for s in self.servers.values())
             return None if busy and now < flow.held_until else self.give_up(now, flow)
         flow.tried.append(server)
-        flow.server, flow.sent = server, now
+        flow.sent = now
+        self.take(flow, server)
         server.out[flow] = None
         if self.cold(now, server):
             server.last_turn = self.turn(now, server)
@@ -361,12 +383,12 @@
         """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
         spare = last = None
         for table, servers in self.pools():
-            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s)]
+            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s, flow)]
             sound = [s for s in allowed if s not in flow.tried and self.sound(now, s)]
             mean = self.mean(sound) if sound else 0.0
             for server in self.along(table, mix(flow.key) % TABLE_SIZE, allowed):
                 if server in sound:
-                    if server.load + 1 <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
+                    if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                         return server
                     spare = spare or server
                 last = last or server
@@ -397,11 +419,11 @@
 
     def mean(self, servers: list[Server]) -> float:
         """This balancer's connections for each unit of weight."""
-        return sum(s.load for s in servers) / sum(s.weight for s in servers)
+        return sum(map(self.load, servers)) / sum(s.weight for s in servers)
 
-    def admits(self, now: int, server: Server) -> bool:
+    def admits(self, now: int, server: Server, flow: Flow) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
-        if now < server.full_until or len(server.out) >= IN_FLIGHT or server.load + 1 > self.limit(now, server):
+        if now < server.full_until or len(server.out) >= IN_FLIGHT or self.load(server, flow) > self.limit(now, server):
             return False
         return not self.cold(now, server) or self.gate(now, server)
 
@@ -442,7 +464,7 @@
             return None
         lost = not self.up(server) and server.known or server.misses >= MISSES
         if not lost:
-            if server.load > self.limit(now, server):
+            if self.load(server) > self.limit(now, server):
                 server.next_move = now + SHED_EVERY
             elif self.homeward(now, server):
                 server.next_move = now + int(HOMING_SPREAD / len(server.flows))
@@ -468,12 +490,11 @@
     def release(self, server: Server) -> Flow:
         """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
         wherever any of it stands; the newest of equals."""
-        groups = Counter(flow.key for flow in server.flows)
         standing = Counter(flow.customer for s in self.servers.values() for flow in s.flows)
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in standing.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
-        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, groups[f.key]))
+        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
         self.drop(flow)
         return flow
 
@@ -500,6 +521,7 @@
 COLD_CAUTION = 0.5            # others' present rate stands in for capacity; half of the budget is left for chance
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
+GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -1,5 +1,6 @@
 """Plain types that the decision module and its hosts share. Times and spans are whole nanoseconds."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -108,10 +109,7 @@
     cut_strain: float = 0.0         # strain at the last cut, 0 once it was back under
     out: dict = field(default_factory=dict)      # flows whose connect is out there
     flows: dict = field(default_factory=dict)    # flows established there
-
-    @property
-    def load(self) -> int:
-        return len(self.out) + len(self.flows)
+    groups: Counter = field(default_factory=Counter)    # how many of each group are among them
 
 
 @dataclass(slots=True, eq=False)
@@ -121,6 +119,7 @@
     key: int
     until: int                      # the client's connect timeout
     customer: int = 0
+    grouped: bool = False           # the key names a group, whose work its members share
     tried: list[Server] = field(default_factory=list)
     server: Server | None = None    # where its connect is out or stands
     sent: int = 0
