--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -188,7 +188,7 @@
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
-        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0), now
+        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0 + GROUP_WORK), now
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
