--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -404,13 +404,6 @@
                 left.discard(server)
                 yield server
 
-    def distance(self, server: Server, key: int) -> int:
-        """How many servers the table names before this one, from the key's slot on."""
-        for table, servers in self.pools():
-            if server in servers:
-                return list(self.along(table, mix(key) % TABLE_SIZE, servers)).index(server)
-        return 0
-
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
         ran = flow.may_have_run
@@ -495,15 +488,13 @@
             now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
 
     def release(self, server: Server) -> Flow:
-        """A flow beyond its customer's share before others, and first those whose key lies farthest from the server
-        in the table: a rule on which all balancers agree, so that each server is left with the same few groups and
-        not with another one from every balancer. The smallest group, then the newest of equals."""
+        """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
+        wherever any of it stands; the newest of equals."""
         standing = Counter(flow.customer for s in self.servers.values() for flow in s.flows)
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in standing.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
-        far = {key: self.distance(server, key) for key in {flow.key for flow in server.flows}}
-        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key], -far[f.key]))
+        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
         self.drop(flow)
         return flow
 
