--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,7 +1,7 @@
 """Plain cases: what the design says, and each failure found."""
 
-from cypresswalk.choice import FALL, IN_FLIGHT, RISE, TABLE_SIZE, maglev
-from cypresswalk.model import SECOND, Effect, ListForm, Outcome, Server, State
+from cypresswalk.choice import FALL, GROUP_WORK, IN_FLIGHT, RISE, TABLE_SIZE, maglev
+from cypresswalk.model import SECOND, Effect, Flow, ListForm, Outcome, Server, State
 from helpers import START, Ledger, entries, service
 
 
@@ -183,6 +183,34 @@
     assert ledger.answers[ledger.arrive().id] == "reject"
 
 
+def test_a_server_that_drops_fresh_flows_draws_no_others_at_once():
+    ledger = Ledger(2)
+    settle(ledger)
+    for _ in range(30):
+        flow = ledger.arrive()
+        if flow.id in ledger.open:
+            ledger.accept(flow)
+            if flow.server.id == 7:
+                ledger.end(flow, Outcome.RESET)
+    assert sum(server.id == 7 for _, server in ledger.connects) == 1
+
+
+def test_a_group_counts_once_a_server_and_the_smallest_leaves_first():
+    ledger = Ledger(1)
+    settle(ledger)
+    flows = [Flow(i, ledger.balancer.settings.service_types[0], key, ledger.now + SECOND, grouped=True)
+             for i, key in enumerate([1, 1, 1, 2], 1)]
+    for flow in flows:
+        ledger.open[flow.id], ledger.history[flow.id] = flow, []
+        ledger.balancer.arrived(ledger.now, flow)
+        ledger.pull()
+        ledger.accept(flow)
+    server = ledger.balancer.servers[7]
+    assert ledger.balancer.load(server) == 4 + 2 * GROUP_WORK
+    assert ledger.balancer.release(server) is flows[3]
+    assert ledger.balancer.load(server) == 3 + GROUP_WORK
+
+
 def test_a_limit_is_forgotten_on_a_clock_far_from_zero():
     ledger = Ledger(1)
     assert ledger.balancer.limit(START * 10_000, ledger.balancer.servers[7]) == float("inf")
