--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -188,7 +188,10 @@
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
-        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0 + GROUP_WORK), now
+        server.limit, server.cut_at = min(load, self.limit(now, server)), now
+        if server.limit < ONE_FLOW:
+            # Where balancers are many each holds one flow here, and none can leave a part of one: some leave all.
+            server.limit = ONE_FLOW if self.draw() < server.limit / ONE_FLOW else 0.0
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -415,7 +418,8 @@
         # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
         if now - server.cut_at > 10 * LIMIT_GROWTH:
             return math.inf
-        return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
+        limit = server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
+        return max(limit, ONE_FLOW) if now - server.cut_at > STRAIN_HOLD else limit
 
     def mean(self, servers: list[Server]) -> float:
         """This balancer's connections for each unit of weight."""
@@ -499,16 +503,18 @@
         return flow
 
     def jittered(self, span: int, part: float) -> int:
+        return int(span * (1 + part * (2 * self.draw() - 1)))
+
+    def draw(self) -> float:
         self.draws += 1
-        draw = crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
-        return int(span * (1 + part * (2 * draw - 1)))
+        return crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
 
 
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
 HOMING = 3                    # a move costs its client a gap besides its price
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
-PASS_OVER_FLOOR = 10           # below three connections a count says nothing
+PASS_OVER_FLOOR = 6           # two flows with a group each: below that a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
 DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
@@ -522,6 +528,7 @@
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
 GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
+ONE_FLOW = 1.0 + GROUP_WORK   # a flow whose group stands nowhere else there
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
