--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -188,10 +188,7 @@
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
-        server.limit, server.cut_at = min(load, self.limit(now, server)), now
-        if server.limit < ONE_FLOW:
-            # Where balancers are many each holds one flow here, and none can leave a part of one: some leave all.
-            server.limit = ONE_FLOW if self.draw() < server.limit / ONE_FLOW else 0.0
+        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0 + GROUP_WORK), now
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -386,7 +383,8 @@
         """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
         spare = last = None
         for table, servers in self.pools():
-            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s, flow)]
+            home = table[mix(flow.key) % TABLE_SIZE]
+            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s, flow, s is home)]
             sound = [s for s in allowed if s not in flow.tried and self.sound(now, s)]
             mean = self.mean(sound) if sound else 0.0
             for server in self.along(table, mix(flow.key) % TABLE_SIZE, allowed):
@@ -418,17 +416,20 @@
         # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
         if now - server.cut_at > 10 * LIMIT_GROWTH:
             return math.inf
-        limit = server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
-        return max(limit, ONE_FLOW) if now - server.cut_at > STRAIN_HOLD else limit
+        return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
 
     def mean(self, servers: list[Server]) -> float:
         """This balancer's connections for each unit of weight."""
         return sum(map(self.load, servers)) / sum(s.weight for s in servers)
 
-    def admits(self, now: int, server: Server, flow: Flow) -> bool:
+    def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
         if now < server.full_until or len(server.out) >= IN_FLIGHT or self.load(server, flow) > self.limit(now, server):
             return False
+        # Another copy of a group needs room to spare: near their limits servers would trade connections for copies.
+        if flow.grouped and not home and flow.key not in server.groups:
+            if self.load(server, flow) > COPY_ROOM * self.limit(now, server):
+                return False
         return not self.cold(now, server) or self.gate(now, server)
 
     def sound(self, now: int, server: Server) -> bool:
@@ -503,18 +504,16 @@
         return flow
 
     def jittered(self, span: int, part: float) -> int:
-        return int(span * (1 + part * (2 * self.draw() - 1)))
-
-    def draw(self) -> float:
         self.draws += 1
-        return crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
+        draw = crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
+        return int(span * (1 + part * (2 * draw - 1)))
 
 
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
 HOMING = 3                    # a move costs its client a gap besides its price
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
 PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
-PASS_OVER_FLOOR = 6           # two flows with a group each: below that a count says nothing
+PASS_OVER_FLOOR = 10           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
 DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
@@ -528,7 +527,7 @@
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
 GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
-ONE_FLOW = 1.0 + GROUP_WORK   # a flow whose group stands nowhere else there
+COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 SHED = 1.0                    # messages miss their target from here on
