--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -512,7 +512,7 @@
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
 HOMING = 3                    # a move costs its client a gap besides its price
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
-PASS_OVER = 1.25              # the bound of consistent hashing with bounded loads: little imbalance, few spread keys
+PASS_OVER = 1.5               # well over the mean; nearer to it, groups are scattered for little balance
 PASS_OVER_FLOOR = 10           # below three connections a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
