A customer may come without a share of standing flows

Found by the adapter's drill under another deployment's settings: a missing share stopped the module while it chose what to move off a full server.

--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -72,7 +72,8 @@
             cold_share=rules["coldShare"], fall_window=nanoseconds(rules["fall"], "fall"),
             overload_factor=rules["overloadFactor"], zone_price=params["deductions"].get("crossZone", 0.0),
             move_price=params["deductions"].get("moves", 0.0),
-            shares=list(extra.get("tenantQuotaConnections", [])),
+            # A customer may come without a share: then nothing of it is beyond one.
+            shares=[math.inf if share is None else share for share in extra.get("tenantQuotaConnections") or []],
             overage_payoff=params.get("overagePayoff", 1.0),
             load_index=fields.index("x0") if "x0" in fields else -1)
     except KeyError as error:
