--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from cypresswalk.benchlink.wire import settings
+
 ROOT = Path(__file__).parent.parent
 PARAMS = {"me": 0, "instances": 1, "zone": 0, "family": "conn", "discovery": "pushed", "unheard": [1],
           "limits": {"maxConnects": 3, "retryAfter": False, "maxRetryAfter": 0.0, "probes": False},
@@ -55,6 +57,11 @@
     assert done.returncode == 1 and message in done.stderr.decode()
 
 
+def test_a_customer_without_a_share_is_never_beyond_it():
+    params = PARAMS | {"extra": {"tenantQuotaConnections": [3.0, None]}}
+    assert settings(json.dumps(params).encode()).shares == [3.0, float("inf")]
+
+
 def test_ids_no_longer_held_are_no_errors():
     late = b"\x04" + struct.pack("<QIBdBHB", 5, 77, 1, 3.0, 0, 100, 0)
     done = run(batch(ABOUT, init(json.dumps(PARAMS).encode()), LIST) + batch(ABOUT, late, b"\x05" + struct.pack("<Q", 5)))
