--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -94,6 +94,9 @@
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
+        # As long as what stands here is likely to have come within: what stands at the start tells the pace at once.
+        self.arrivals = Decaying(30 * SECOND, now)
+        self.probe_time, self.probe_time_at = 0, now      # the clock that probes go by; see `probe_clock`
 
     # What has happened.
 
@@ -115,7 +118,8 @@
                 server = self.servers[entry.id] = entry
                 server.health = RISE - 1
                 server.fresh = form is not ListForm.CACHED
-                server.next_probe = now if server.fresh else now + self.jittered(FAST, 0.9)
+                spread = 1 - 1 / self.stretch(now) if server.fresh else 1.0     # nothing to spread where probes are cheap
+                server.next_probe = self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread)
             else:
                 back = server.state is State.GONE and entry.state is State.READY
                 if back or entry.since != server.since:
@@ -131,18 +135,20 @@
 
     def restart(self, now: int, server: Server) -> None:
         server.health, server.known, server.fresh = RISE - 1, False, True
-        server.next_probe, server.answers, server.last_turn = now, 0, -1
+        server.next_probe, server.answers, server.last_turn = self.probe_clock(now), 0, -1
         server.misses, server.strain, server.full_until, server.limit = 0, 0.0, 0, math.inf
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
         self.waiting.append(flow)
+        self.arrivals.add(now, 1)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
         """An established flow that was routed through here already."""
         self.flows[flow.id] = flow
         flow.tried.append(server)
         flow.established = True
+        self.arrivals.add(now, 1)
         self.take(flow, server)
         server.flows[flow] = None
 
@@ -196,7 +202,7 @@
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.misses += 1
             server.trial_at = now + self.jittered(TRIAL, JITTER)
-            server.next_probe = min(server.next_probe, now)
+            server.next_probe = min(server.next_probe, self.probe_clock(now))
             self.next_look = now
             if outcome is Outcome.TIMEOUT:
                 self.setup_time.add(now, took)
@@ -246,11 +252,26 @@
         if load is not None:
             self.judge_strain(now, server, (load - LOAD_EASY) / (1 - LOAD_EASY))
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
-        server.next_probe = now + self.jittered(interval, JITTER)
+        server.next_probe = self.probe_clock(now) + self.jittered(interval, JITTER)
         if was_up != self.up(server):
             self.tables = None
         self.next_look = now
 
+    def probe_clock(self, now: int) -> int:
+        """Runs with time, but no faster than this balancer's own flows can pay for probes of every server. Guards
+        against many balancers whose probes cost more than their flows earn."""
+        self.probe_time += int((now - self.probe_time_at) / self.stretch(now))
+        self.probe_time_at = now
+        return self.probe_time
+
+    def stretch(self, now: int) -> float:
+        if not self.settings.probe_price:
+            return 1.0
+        seen = self.arrivals.tau * (1 - math.exp((self.started - now) / self.arrivals.tau))
+        flows = (self.arrivals.read(now) + 1) / max(seen, self.arrivals.tau / 2)
+        afford = flows * PROBE_POINTS / self.settings.probe_price
+        return max(1.0, len(self.servers) / NORMAL / afford)
+
     def delay_told(self, now: int, server: Server, delay: int) -> None:
         server.delay = delay
         self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
@@ -300,14 +321,15 @@
 
     def look(self, now: int) -> Decision | None:
         due = now + 60 * SECOND       # nothing to do: any time will do
+        clock, stretch = self.probe_clock(now), self.stretch(now)
         for server in self.servers.values():
             if server.state is State.GONE:
                 continue
             if self.settings.probes and not server.probing:
-                if now >= server.next_probe:
+                if clock >= server.next_probe:
                     server.probing = True
                     return Probe(server)
-                due = min(due, server.next_probe)
+                due = min(due, now + 1 + int((server.next_probe - clock) * stretch))
             flow = self.to_move(now, server)
             if flow is not None:
                 return Move(flow)
@@ -509,6 +531,7 @@
         return int(span * (1 + part * (2 * draw - 1)))
 
 
+PROBE_POINTS = 0.01           # what probes may cost of a flow's worth: little beside what a bad server costs
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
 HOMING = 3                    # a move costs its client a gap besides its price
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -77,6 +77,7 @@
     overload_factor: float
     zone_price: float       # points for each flow that crosses zones once
     move_price: float       # points for each flow moved once
+    probe_price: float      # points for one probe a flow
     shares: list[float]     # for each customer the standing flows within its share, all balancers together
     overage_payoff: float   # what a flow beyond the share is worth, as a part
     load_index: int         # place of the load over capacity in a server's report, -1 where none
