A limit under one flow keeps its part by a hash of key and server

Cause: a limit could not go under one flow with its group, so hundreds of balancers with a flow each held on to an overloaded server. The part is now kept by a hash, mostly of the key, so all yield the same groups to the same next servers.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -194,7 +194,7 @@
         server.cut_strain = server.strain
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
-        server.limit, server.cut_at = max(min(load, self.limit(now, server)), 1.0 + GROUP_WORK), now
+        server.limit, server.cut_at = min(load, self.limit(now, server)), now
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -440,13 +440,26 @@
             return math.inf
         return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
 
+    def fits(self, now: int, server: Server, flow: Flow, without: float, with_it: float) -> bool:
+        """Whether that flow may be among what the limit leaves. Where one flow is more than the limit has left, the
+        part is kept by a hash of key and server, mostly: so hundreds of balancers with a flow each yield the same
+        groups to the same next servers, and in the sum as much as each would if it held them all."""
+        limit = self.limit(now, server)
+        if with_it <= limit or without >= limit:
+            return with_it <= limit
+        group, own = mix(flow.key ^ server.id), mix(flow.id ^ server.id)
+        chance = SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)
+        return without + (with_it - without) * chance / 0xFFFFFFFF <= limit
+
     def mean(self, servers: list[Server]) -> float:
         """This balancer's connections for each unit of weight."""
         return sum(map(self.load, servers)) / sum(s.weight for s in servers)
 
     def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
-        if now < server.full_until or len(server.out) >= IN_FLIGHT or self.load(server, flow) > self.limit(now, server):
+        if now < server.full_until or len(server.out) >= IN_FLIGHT:
+            return False
+        if not self.fits(now, server, flow, self.load(server), self.load(server, flow)):
             return False
         # Another copy of a group needs room to spare: near their limits servers would trade connections for copies.
         if flow.grouped and not home and flow.key not in server.groups:
@@ -493,17 +506,24 @@
         if not lost:
             if self.load(server) > self.limit(now, server):
                 server.next_move = now + SHED_EVERY
+                flow = self.release(server)
+                load = self.load(server)
+                left = load - 1 - GROUP_WORK * (flow.grouped and server.groups[flow.key] == 1)
+                if self.fits(now, server, flow, left, load):
+                    server.next_move = now + CUT_EVERY
+                    return None
+                return self.gone(flow)
             elif self.homeward(now, server):
                 server.next_move = now + int(HOMING_SPREAD / len(server.flows))
             else:
                 return None
-            return self.release(server)
+            return self.gone(self.release(server))
         ready = [s for s in self.servers.values() if self.up(s)]
         sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
         if 2 * len(sound) < len(ready) or not sound:
             return None
         server.next_move = now + int(LOST_SPREAD / len(server.flows))
-        return self.release(server)
+        return self.gone(self.release(server))
 
     def homeward(self, now: int, server: Server) -> bool:
         """Whether flows that stand in another zone should come home: where a crossing costs many times a move, and
@@ -521,7 +541,9 @@
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in standing.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
-        flow = min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
+        return min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
+
+    def gone(self, flow: Flow) -> Flow:
         self.drop(flow)
         return flow
 
@@ -550,6 +572,7 @@
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
 GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
+SAME_KEY = 0.8                # of that hash; the rest lets a group too big for any one server be split
 COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
