Balancers tell each other which servers are strained, where they may

Cause: a flow moved off a strained server comes back to a balancer that has none there and sends it straight back. A hint of six bytes has the others pass the server over for three seconds.

--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -1,10 +1,11 @@
 """Hosts the instances: events in, decisions out."""
 
+import math
 import struct
 
 from cypresswalk.benchlink.wire import Reader, WireError, entry, nanoseconds, settings
 from cypresswalk.choice import Balancer
-from cypresswalk.model import Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Subscribe, Wake
+from cypresswalk.model import Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Subscribe, Tell, Wake
 
 FORMS = {0: ListForm.DELTA, 1: ListForm.FULL, 2: ListForm.CACHED, 3: ListForm.FAILED}
 OUTCOMES = {100: Outcome.OK, 301: Outcome.ERROR, 302: Outcome.FULL, 303: Outcome.TIMEOUT,
@@ -139,7 +140,12 @@
 
     def datagram(self, who, reader, now):
         _, length = reader.take(PEER, "Datagram")
-        reader.chunk(length, "message")
+        message = reader.chunk(length, "message")
+        balancer = self.balancer(who)
+        if len(message) == HINT.size:
+            ident, strain = HINT.unpack(message)
+            if ident in balancer.servers and math.isfinite(strain):
+                return balancer.peer_told, balancer.servers[ident], strain
 
     def torn_down(self, who, reader, now):
         self.instances.pop(who, None)
@@ -154,7 +160,8 @@
 EVENTS = {0: Host.started, 1: Host.sync, 2: Host.arrival, 3: Host.accepted, 4: Host.reply, 5: Host.hangup,
           6: Host.timer, 7: Host.probe_done, 8: Host.datagram, 9: Host.torn_down, 10: Host.resumption,
           11: Host.update}
-ISSUE, BOUNCE, SLEEP = struct.Struct("<BQdI"), struct.Struct("<BQd"), struct.Struct("<BdQ")
+HINT = struct.Struct("<Ie")     # a server and its strain, told to the other instances
+ISSUE, BOUNCE, SLEEP, TELL = (struct.Struct("<" + c) for c in ("BQdI", "BQd", "BdQ", "BHH"))
 
 
 def text(code: int, words: str) -> bytes:
@@ -174,6 +181,8 @@
             return SLEEP.pack(4, after / 1e6, 0)
         case Probe(server):
             return CODE.pack(5) + U32.pack(server.id)
+        case Tell(server, strain):
+            return TELL.pack(7, 0xFFFF, HINT.size) + HINT.pack(server.id, min(strain, 60000.0))
         case Subscribe():
             return b"\x0a\x01"
         case Move(flow):
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -1,7 +1,7 @@
 """Every decision of the balancer: which server a flow goes to, and when servers are judged, spared or left.
 
 How it is called: a host makes one Balancer per instance from its settings, a seed and the time, tells it what
-happens (listed, arrived, resumed, established, ended, left, probed, delay_told, woken) and then calls
+happens (listed, arrived, resumed, established, ended, left, probed, delay_told, peer_told, woken) and then calls
 decide() until that returns None, carrying out each decision at once. Inputs only update what is known; all
 deciding is done in decide(). Times are whole nanoseconds of the host's clock.
 Where the interface stands: the types in model.py are all that a host needs. `servers` and `flows` map ids to
@@ -14,7 +14,7 @@
 from zlib import crc32
 
 from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
-                               Reject, Scope, Server, Settings, State, Subscribe, Wake)
+                               Reject, Scope, Server, Settings, State, Subscribe, Tell, Wake)
 
 RISE, FALL = 2, 3              # the article's example, after HAProxy
 NORMAL = 5 * SECOND            # the article's interval at full health
@@ -83,6 +83,7 @@
         self.tables: list[tuple[list[Server], list[Server]]] | None = None
         self.seed, self.draws = seed, 0
         self.started = now
+        self.to_tell: list[Server] = []
         self.next_wake = 0
         self.next_look = now          # when a server next wants a probe or gives up a flow
         self.next_ask = now if settings.list_asked else None
@@ -276,8 +277,26 @@
         server.delay = delay
         self.judge_strain(now, server, delay / self.message_target if self.message_target else 0.0)
 
+    def peer_told(self, now: int, server: Server, strain: float) -> None:
+        """A hint only: it has the server passed over for a while and moves nothing."""
+        server.told_at = now
+        if now - server.strain_at > STRAIN_HOLD or strain > server.strain:
+            server.strain, server.strain_at = strain, now
+
+    def news(self, now: int, server: Server) -> None:
+        """Whether to tell the others that a server is strained. Guards against flows sent back to it by balancers
+        that have none there to hear of it by. As many hear it as have flows there: by chance, two of them tell."""
+        if not self.settings.peers or self.settings.instances < 2 or now - server.told_at < TELL_EVERY:
+            return
+        hearers = len(self.flows) * self.settings.instances / len(self.servers)
+        if self.draw() * hearers < 2:
+            server.told_at = now
+            self.to_tell.append(server)
+
     def judge_strain(self, now: int, server: Server, strain: float) -> None:
         server.strain, server.strain_at = strain, now
+        if strain >= STRAINED:
+            self.news(now, server)
         if strain >= SHED:
             self.cut(now, server)
         else:
@@ -297,6 +316,9 @@
             self.waiting.extendleft(reversed(self.held))
             self.held.clear()
         self.freed = False
+        if self.to_tell:
+            server = self.to_tell.pop()
+            return Tell(server, server.strain)
         while self.waiting:
             flow = self.waiting.popleft()
             if flow.id in self.flows:
@@ -502,28 +524,26 @@
     def to_move(self, now: int, server: Server) -> Flow | None:
         if not self.settings.moves or not server.flows or now < server.next_move:
             return None
-        lost = not self.up(server) and server.known or server.misses >= MISSES
-        if not lost:
-            if self.load(server) > self.limit(now, server):
-                server.next_move = now + SHED_EVERY
-                flow = self.release(server)
-                load = self.load(server)
-                left = load - 1 - GROUP_WORK * (flow.grouped and server.groups[flow.key] == 1)
-                if self.fits(now, server, flow, left, load):
-                    server.next_move = now + CUT_EVERY
-                    return None
-                return self.gone(flow)
-            elif self.homeward(now, server):
-                server.next_move = now + int(HOMING_SPREAD / len(server.flows))
-            else:
+        if not self.up(server) and server.known or server.misses >= MISSES:
+            ready = [s for s in self.servers.values() if self.up(s)]
+            sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
+            if 2 * len(sound) < len(ready) or not sound:
+                return None
+            flow, pause = self.release(server), int(LOST_SPREAD / len(server.flows))
+        elif self.load(server) > self.limit(now, server):
+            flow, pause = self.release(server), SHED_EVERY
+            load = self.load(server)
+            alone = flow.grouped and server.groups[flow.key] == 1
+            if self.fits(now, server, flow, load - 1 - GROUP_WORK * alone, load):
+                server.next_move = now + CUT_EVERY
                 return None
-            return self.gone(self.release(server))
-        ready = [s for s in self.servers.values() if self.up(s)]
-        sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
-        if 2 * len(sound) < len(ready) or not sound:
+        elif self.homeward(now, server):
+            flow, pause = self.release(server), int(HOMING_SPREAD / len(server.flows))
+        else:
             return None
-        server.next_move = now + int(LOST_SPREAD / len(server.flows))
-        return self.gone(self.release(server))
+        server.next_move = now + pause
+        self.drop(flow)
+        return flow
 
     def homeward(self, now: int, server: Server) -> bool:
         """Whether flows that stand in another zone should come home: where a crossing costs many times a move, and
@@ -543,14 +563,12 @@
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
         return min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
 
-    def gone(self, flow: Flow) -> Flow:
-        self.drop(flow)
-        return flow
-
     def jittered(self, span: int, part: float) -> int:
+        return int(span * (1 + part * (2 * self.draw() - 1)))
+
+    def draw(self) -> float:
         self.draws += 1
-        draw = crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
-        return int(span * (1 + part * (2 * draw - 1)))
+        return crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
 
 
 PROBE_POINTS = 0.01           # what probes may cost of a flow's worth: little beside what a bad server costs
@@ -576,6 +594,7 @@
 COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
+TELL_EVERY = 2 * SECOND       # within STRAIN_HOLD, or the others would come back before the next word
 SHED = 1.0                    # messages miss their target from here on
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
 SHED_EVERY = SECOND // 20     # what is over a limit goes within a second or two, not in one burst of set-ups
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -78,6 +78,7 @@
     zone_price: float       # points for each flow that crosses zones once
     move_price: float       # points for each flow moved once
     probe_price: float      # points for one probe a flow
+    peers: bool             # instances can tell each other a few bytes
     shares: list[float]     # for each customer the standing flows within its share, all balancers together
     overage_payoff: float   # what a flow beyond the share is worth, as a part
     load_index: int         # place of the load over capacity in a server's report, -1 where none
@@ -106,6 +107,7 @@
     full_until: int = 0
     limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
     cut_at: int = 0
+    told_at: int = 0                # when one balancer last told the others of its strain
     delay: int = 0                  # of a message there, as last told
     cut_strain: float = 0.0         # strain at the last cut, 0 once it was back under
     out: dict = field(default_factory=dict)      # flows whose connect is out there
@@ -166,9 +168,16 @@
     """Ask for the server list's changes from here on."""
 
 
+@dataclass(slots=True)
+class Tell:
+    """A hint to all other instances; it may be lost."""
+    server: Server
+    strain: float
+
+
 @dataclass(slots=True)
 class Wake:
     after: int
 
 
-Decision = Connect | Reject | Abort | Move | Probe | Subscribe | Wake
+Decision = Connect | Reject | Abort | Move | Probe | Subscribe | Tell | Wake
