Cold servers: each flow gets a chance from its balancer's part of the budget

Cause: a turn belonged to one instance and lapsed, and with a flow each hundreds of balancers hardly ever had one in their turn. A flow whose slot is a cold server's now passes by a chance that is dealt from the balancer's part of the budget, used or not.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -97,6 +97,7 @@
         self.message_target = min(targets, default=0)
         # As long as what stands here is likely to have come within: what stands at the start tells the pace at once.
         self.arrivals = Decaying(30 * SECOND, now)
+        self.keys: Counter[int] = Counter()
         self.probe_time, self.probe_time_at = 0, now      # the clock that probes go by; see `probe_clock`
 
     # What has happened.
@@ -119,6 +120,7 @@
                 server = self.servers[entry.id] = entry
                 server.health = RISE - 1
                 server.fresh = form is not ListForm.CACHED
+                server.dealt = Decaying(max(2 * self.settings.fall_window, 1), now)
                 spread = 1 - 1 / self.stretch(now) if server.fresh else 1.0     # nothing to spread where probes are cheap
                 server.next_probe = self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread)
             else:
@@ -136,13 +138,14 @@
 
     def restart(self, now: int, server: Server) -> None:
         server.health, server.known, server.fresh = RISE - 1, False, True
-        server.next_probe, server.answers, server.last_turn = self.probe_clock(now), 0, -1
+        server.next_probe, server.answers = self.probe_clock(now), 0
         server.misses, server.strain, server.full_until, server.limit = 0, 0.0, 0, math.inf
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
         self.waiting.append(flow)
         self.arrivals.add(now, 1)
+        self.keys[flow.key] += 1
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
         """An established flow that was routed through here already."""
@@ -150,6 +153,7 @@
         flow.tried.append(server)
         flow.established = True
         self.arrivals.add(now, 1)
+        self.keys[flow.key] += 1
         self.take(flow, server)
         server.flows[flow] = None
 
@@ -182,7 +186,7 @@
                 flow.may_have_run, flow.ran_at = server, flow.sent
         flow.last, flow.server = outcome, None
         if final:
-            self.flows.pop(flow.id, None)
+            self.forget(flow)
         else:
             self.waiting.append(flow)
 
@@ -211,10 +215,16 @@
 
     def left(self, now: int, flow: Flow) -> None:
         """The client is gone. A connect still out is forgotten here; its end tells nothing more."""
-        self.flows.pop(flow.id, None)
+        self.forget(flow)
         if flow.server is not None:
             self.drop(flow)
 
+    def forget(self, flow: Flow) -> None:
+        if self.flows.pop(flow.id, None) is not None:
+            self.keys[flow.key] -= 1
+            if not self.keys[flow.key]:
+                del self.keys[flow.key]
+
     def take(self, flow: Flow, server: Server) -> None:
         flow.server = server
         if flow.grouped:
@@ -364,6 +374,8 @@
         """None holds the flow for a while: set-ups under way will make room."""
         if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
             return self.give_up(now, flow)
+        if not flow.tried and not flow.held_until:
+            self.deal(now, flow)
         server = self.pick(now, flow)
         if server is None:
             if not flow.held_until:
@@ -374,13 +386,11 @@
         flow.sent = now
         self.take(flow, server)
         server.out[flow] = None
-        if self.cold(now, server):
-            server.last_turn = self.turn(now, server)
         return Connect(flow, server, self.patience(now, flow))
 
     def give_up(self, now: int, flow: Flow) -> Decision:
         """The final answer, at once. A reject only where another try does no harm."""
-        self.flows.pop(flow.id, None)
+        self.forget(flow)
         harmless = (flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE
                     or flow.type.effect is Effect.REFERENCED and flow.type.scope is Scope.ALL)
         if not harmless:
@@ -487,7 +497,8 @@
         if flow.grouped and not home and flow.key not in server.groups:
             if self.load(server, flow) > COPY_ROOM * self.limit(now, server):
                 return False
-        return not self.cold(now, server) or self.gate(now, server)
+        # A cold server takes only flows whose slot it is, not what others yield. In flight: one more than answered.
+        return not self.cold(now, server) or home and server in flow.admitted and len(server.out) <= server.answers
 
     def sound(self, now: int, server: Server) -> bool:
         """Guards against a server that passes probes yet answers no flow, and against slow servers' full share."""
@@ -501,23 +512,25 @@
     def cold(self, now: int, server: Server) -> bool:
         return server.since > 0 and now - server.since < self.settings.cold
 
-    def turn(self, now: int, server: Server) -> int:
-        """Which of the flows that the cold server's budget allows so far is due now."""
+    def deal(self, now: int, flow: Flow) -> None:
+        """Guards cold servers against the sum of all balancers. Each flow that comes may go to a cold server by a
+        chance that is dealt from this balancer's part of the budget, used or not: so the sum holds though all
+        balancers see as many flows at once as this one does. A key that makes up more of the flows here than the
+        server of the fleet is let in that much less."""
         s = self.settings
         seen = 1 - math.exp((self.started - now) / self.carried.tau)
-        rate = self.carried.read(now) / max(seen, 0.05) / (self.carried.tau / SECOND) * s.instances
-        peers = sum(o.weight for o in self.servers.values() if self.up(o))
-        rate *= server.weight / max(peers, server.weight)
-        age, warm = (now - server.since) / SECOND, s.cold / SECOND
-        grown = s.cold_share * age + (1 - s.cold_share) * age * age / (2 * warm)
-        return int(COLD_CAUTION * s.overload_factor * rate * grown)
-
-    def gate(self, now: int, server: Server) -> bool:
-        """Guards a cold server against the sum of all balancers: its budget is dealt out in turns, one flow a
-        turn, and what an instance does not use in its own turn lapses. In flight: one more than it has answered."""
-        turn = self.turn(now, server)
-        return (turn % self.settings.instances == self.settings.me and turn > server.last_turn
-                and len(server.out) <= server.answers)
+        usual = self.carried.read(now) / max(seen, 0.05) * s.fall_window / self.carried.tau
+        fleet = sum(server.weight for server in self.servers.values() if self.up(server))
+        keys = self.keys[flow.key] / len(self.flows) if flow.grouped else 0.0
+        for server in self.servers.values():
+            if self.cold(now, server) and self.up(server):
+                warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
+                left = COLD_CAUTION * s.overload_factor * warmed * usual - server.dealt.read(now)
+                part = min(max(left, 0.0), 1.0)
+                server.dealt.add(now, part)
+                share = server.weight / max(fleet, server.weight)
+                if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
+                    flow.admitted.append(server)
 
     # Moving established flows.
 
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -98,10 +98,10 @@
     probing: bool = False
     next_probe: int = 0
     next_move: int = 0
+    dealt: object = None            # a decaying sum: the part of its cold budget that this balancer has dealt out
     answers: int = 0                # connects established since its start
     misses: int = 0                 # connects unanswered since the last that was established
     trial_at: int = 0               # when one flow may try a server with misses again
-    last_turn: int = -1
     strain: float = 0.0             # slowness as last told: 1 is a message at its target, or all capacity asked
     strain_at: int = 0
     full_until: int = 0
@@ -124,6 +124,7 @@
     customer: int = 0
     grouped: bool = False           # the key names a group, whose work its members share
     tried: list[Server] = field(default_factory=list)
+    admitted: list[Server] = field(default_factory=list)    # the cold servers that it may go to
     server: Server | None = None    # where its connect is out or stands
     sent: int = 0
     held_until: int = 0
