--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -80,7 +80,10 @@
         self.waiting: deque[Flow] = deque()
         self.held: deque[Flow] = deque()
         self.freed = False
-        self.tables: list[tuple[list[Server], list[Server]]] | None = None
+        self.stale, self.members, self.weight = True, [], 0.0      # the table's servers, and what they weigh
+        self.tables: list[tuple[list[Server], int]] = []
+        self.asked = 0.0              # what all servers are asked from here, as `load` counts it
+        self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
         self.to_tell: list[Server] = []
@@ -133,7 +136,7 @@
             for server in self.servers.values():
                 if server.id not in named:
                     server.state = State.GONE
-        self.tables = None
+        self.stale = True
         self.next_look = now
 
     def restart(self, now: int, server: Server) -> None:
@@ -142,20 +145,15 @@
         server.misses, server.strain, server.full_until, server.limit = 0, 0.0, 0, math.inf
 
     def arrived(self, now: int, flow: Flow) -> None:
-        self.flows[flow.id] = flow
+        self.hold(now, flow)
         self.waiting.append(flow)
-        self.arrivals.add(now, 1)
-        self.keys[flow.key] += 1
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
         """An established flow that was routed through here already."""
-        self.flows[flow.id] = flow
+        self.hold(now, flow)
         flow.tried.append(server)
         flow.established = True
-        self.arrivals.add(now, 1)
-        self.keys[flow.key] += 1
-        self.take(flow, server)
-        server.flows[flow] = None
+        self.take(flow, server, server.flows)
 
     def established(self, now: int, flow: Flow, took: int) -> None:
         server = flow.server
@@ -219,26 +217,38 @@
         if flow.server is not None:
             self.drop(flow)
 
+    def hold(self, now: int, flow: Flow) -> None:
+        self.flows[flow.id] = flow
+        self.arrivals.add(now, 1)
+        self.keys[flow.key] += 1
+        self.customers[flow.customer] += 1
+
     def forget(self, flow: Flow) -> None:
         if self.flows.pop(flow.id, None) is not None:
+            self.customers[flow.customer] -= 1
             self.keys[flow.key] -= 1
             if not self.keys[flow.key]:
                 del self.keys[flow.key]
 
-    def take(self, flow: Flow, server: Server) -> None:
+    def take(self, flow: Flow, server: Server, where: dict) -> None:
+        self.asked -= self.load(server)
         flow.server = server
+        where[flow] = None
         if flow.grouped:
             server.groups[flow.key] += 1
+        self.asked += self.load(server)
 
     def drop(self, flow: Flow) -> None:
         server = flow.server
         if flow in server.out or flow in server.flows:
+            self.asked -= self.load(server)
             server.out.pop(flow, None)
             server.flows.pop(flow, None)
             if flow.grouped:
                 server.groups[flow.key] -= 1
                 if not server.groups[flow.key]:
                     del server.groups[flow.key]
+            self.asked += self.load(server)
         self.freed = True
 
     def load(self, server: Server, flow: Flow | None = None) -> float:
@@ -265,7 +275,7 @@
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
         server.next_probe = self.probe_clock(now) + self.jittered(interval, JITTER)
         if was_up != self.up(server):
-            self.tables = None
+            self.stale = True
         self.next_look = now
 
     def probe_clock(self, now: int) -> int:
@@ -353,7 +363,7 @@
 
     def look(self, now: int) -> Decision | None:
         due = now + 60 * SECOND       # nothing to do: any time will do
-        clock, stretch = self.probe_clock(now), self.stretch(now)
+        clock, stretch, home = self.probe_clock(now), self.stretch(now), self.near_easy(now)
         for server in self.servers.values():
             if server.state is State.GONE:
                 continue
@@ -362,7 +372,7 @@
                     server.probing = True
                     return Probe(server)
                 due = min(due, now + 1 + int((server.next_probe - clock) * stretch))
-            flow = self.to_move(now, server)
+            flow = self.to_move(now, server, home)
             if flow is not None:
                 return Move(flow)
             if server.next_move > now:
@@ -384,8 +394,7 @@
             return None if busy and now < flow.held_until else self.give_up(now, flow)
         flow.tried.append(server)
         flow.sent = now
-        self.take(flow, server)
-        server.out[flow] = None
+        self.take(flow, server, server.out)
         return Connect(flow, server, self.patience(now, flow))
 
     def give_up(self, now: int, flow: Flow) -> Decision:
@@ -420,45 +429,47 @@
             return False
         return server.health >= RISE or not server.known
 
-    def pools(self) -> list[tuple[list[Server], list[Server]]]:
-        """The Maglev tables, nearest pool first. Without an up server the listed ones serve: probes that all
-        time out must never empty the table."""
-        if self.tables is None:
+    def pools(self) -> list[tuple[list[Server], int]]:
+        """The Maglev tables, nearest pool first, with how many servers each names. Without an up server the listed
+        ones serve: probes that all time out must never empty the table."""
+        if self.stale:
+            self.stale = False
             up = [s for s in self.servers.values() if self.up(s)]
             if not up:
                 up = [s for s in self.servers.values() if s.state is State.READY]
-            groups = [up]
-            if self.settings.zone_price >= DEAR_CROSSING:
-                groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
-            self.tables = [(maglev(group), group) for group in groups if group]
+            # Lists come in parts and mostly repeat what is known: a table is built when it would differ.
+            members = [(s.id, s.zone, s.weight) for s in up]
+            if members != self.members:
+                self.members, self.weight = members, sum(s.weight for s in up)
+                groups = [up]
+                if self.settings.zone_price >= DEAR_CROSSING:
+                    groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
+                self.tables = [(maglev(group), len(group)) for group in groups if group]
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
         """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
         spare = last = None
-        for table, servers in self.pools():
-            home = table[mix(flow.key) % TABLE_SIZE]
-            allowed = [s for s in servers if self.in_scope(flow, s) and self.admits(now, s, flow, s is home)]
-            sound = [s for s in allowed if s not in flow.tried and self.sound(now, s)]
-            mean = self.mean(sound) if sound else 0.0
-            for server in self.along(table, mix(flow.key) % TABLE_SIZE, allowed):
-                if server in sound:
-                    if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
-                        return server
-                    spare = spare or server
-                last = last or server
+        for table, count in self.pools():
+            slot = mix(flow.key) % TABLE_SIZE
+            home, seen = table[slot], set()
+            # This balancer's connections for each unit of weight.
+            mean = self.asked / self.weight
+            for at in range(slot, slot + TABLE_SIZE):
+                server = table[at % TABLE_SIZE]
+                if server in seen:
+                    continue
+                seen.add(server)
+                if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
+                    if server not in flow.tried and self.sound(now, server):
+                        if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
+                            return server
+                        spare = spare or server
+                    last = last or server
+                if len(seen) == count:
+                    break
         return spare or last
 
-    def along(self, table: list[Server], slot: int, servers: list[Server]):
-        """Those servers in the order in which the table names them from that slot on."""
-        left = set(servers)
-        while left:
-            server = table[slot]
-            slot = (slot + 1) % TABLE_SIZE
-            if server in left:
-                left.discard(server)
-                yield server
-
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
         ran = flow.may_have_run
@@ -483,10 +494,6 @@
         chance = SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)
         return without + (with_it - without) * chance / 0xFFFFFFFF <= limit
 
-    def mean(self, servers: list[Server]) -> float:
-        """This balancer's connections for each unit of weight."""
-        return sum(map(self.load, servers)) / sum(s.weight for s in servers)
-
     def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
         if now < server.full_until or len(server.out) >= IN_FLIGHT:
@@ -534,7 +541,7 @@
 
     # Moving established flows.
 
-    def to_move(self, now: int, server: Server) -> Flow | None:
+    def to_move(self, now: int, server: Server, home: bool) -> Flow | None:
         if not self.settings.moves or not server.flows or now < server.next_move:
             return None
         if not self.up(server) and server.known or server.misses >= MISSES:
@@ -550,7 +557,7 @@
             if self.fits(now, server, flow, load - 1 - GROUP_WORK * alone, load):
                 server.next_move = now + CUT_EVERY
                 return None
-        elif self.homeward(now, server):
+        elif home and server.zone != self.settings.zone:
             flow, pause = self.release(server), int(HOMING_SPREAD / len(server.flows))
         else:
             return None
@@ -558,21 +565,20 @@
         self.drop(flow)
         return flow
 
-    def homeward(self, now: int, server: Server) -> bool:
+    def near_easy(self, now: int) -> bool:
         """Whether flows that stand in another zone should come home: where a crossing costs many times a move, and
         while no near server is strained or has had to be relieved."""
-        if server.zone == self.settings.zone or self.settings.zone_price < HOMING * self.settings.move_price:
+        if self.settings.zone_price < max(HOMING * self.settings.move_price, DEAR_CROSSING):
             return False
         near = [s for s in self.servers.values() if s.zone == self.settings.zone and self.up(s)]
-        return bool(near) and self.settings.zone_price >= DEAR_CROSSING and all(
+        return bool(near) and all(
             now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
 
     def release(self, server: Server) -> Flow:
         """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
         wherever any of it stands; the newest of equals."""
-        standing = Counter(flow.customer for s in self.servers.values() for flow in s.flows)
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
-        over = {customer for customer, count in standing.items()
+        over = {customer for customer, count in self.customers.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
         return min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
 
