--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -11,6 +11,7 @@
 import math
 from collections import Counter, deque
 from hashlib import blake2b
+from heapq import heappop, heappush
 from zlib import crc32
 
 from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
@@ -87,6 +88,10 @@
         self.seed, self.draws = seed, 0
         self.started = now
         self.to_tell: list[Server] = []
+        self.probes: list[tuple[int, int, Server]] = []      # a heap, by the probe clock
+        self.entered = 0
+        self.doubted: dict[Server, None] = {}      # something was heard of them: flows there may have to move
+        self.next_home, self.homing = now, False
         self.next_wake = 0
         self.next_look = now          # when a server next wants a probe or gives up a flow
         self.next_ask = now if settings.list_asked else None
@@ -125,7 +130,7 @@
                 server.fresh = form is not ListForm.CACHED
                 server.dealt = Decaying(max(2 * self.settings.fall_window, 1), now)
                 spread = 1 - 1 / self.stretch(now) if server.fresh else 1.0     # nothing to spread where probes are cheap
-                server.next_probe = self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread)
+                self.probe_at(server, self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread))
             else:
                 back = server.state is State.GONE and entry.state is State.READY
                 if back or entry.since != server.since:
@@ -141,7 +146,8 @@
 
     def restart(self, now: int, server: Server) -> None:
         server.health, server.known, server.fresh = RISE - 1, False, True
-        server.next_probe, server.answers = self.probe_clock(now), 0
+        self.probe_at(server, self.probe_clock(now))
+        server.answers = 0
         server.misses, server.strain, server.full_until, server.limit = 0, 0.0, 0, math.inf
 
     def arrived(self, now: int, flow: Flow) -> None:
@@ -198,6 +204,7 @@
 
     def keep_at(self, now: int, server: Server, load: float) -> None:
         server.limit, server.cut_at = min(load, self.limit(now, server)), now
+        self.doubt(now, server)
 
     def judge_connect(self, now: int, server: Server, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
@@ -205,8 +212,9 @@
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.misses += 1
             server.trial_at = now + self.jittered(TRIAL, JITTER)
-            server.next_probe = min(server.next_probe, self.probe_clock(now))
-            self.next_look = now
+            if server.next_probe > self.probe_clock(now):
+                self.probe_at(server, self.probe_clock(now))
+            self.doubt(now, server)
             if outcome is Outcome.TIMEOUT:
                 self.setup_time.add(now, took)
                 self.setups.add(now, 1)
@@ -273,10 +281,10 @@
         if load is not None:
             self.judge_strain(now, server, (load - LOAD_EASY) / (1 - LOAD_EASY))
         interval = NORMAL if server.health == RISE + FALL - 1 else FAST if server.health > 0 else DOWN
-        server.next_probe = self.probe_clock(now) + self.jittered(interval, JITTER)
+        self.probe_at(server, self.probe_clock(now) + self.jittered(interval, JITTER))
         if was_up != self.up(server):
             self.stale = True
-        self.next_look = now
+        self.doubt(now, server)
 
     def probe_clock(self, now: int) -> int:
         """Runs with time, but no faster than this balancer's own flows can pay for probes of every server. Guards
@@ -313,6 +321,10 @@
             server.told_at = now
             self.to_tell.append(server)
 
+    def doubt(self, now: int, server: Server) -> None:
+        self.doubted[server] = None
+        self.next_look = now
+
     def judge_strain(self, now: int, server: Server, strain: float) -> None:
         server.strain, server.strain_at = strain, now
         if strain >= STRAINED:
@@ -323,7 +335,7 @@
             server.cut_strain = 0.0
             if strain >= STRAINED:
                 self.keep_at(now, server, self.load(server))
-        self.next_look = now
+        self.doubt(now, server)
 
     def woken(self, now: int) -> None:
         self.next_wake = 0
@@ -362,24 +374,42 @@
         return None
 
     def look(self, now: int) -> Decision | None:
+        """Probes that are due and flows to be moved. Only what something was heard of is looked at: walking the whole
+        fleet at each word from any server took hundreds of balancers more time than all else together."""
+        clock = self.probe_clock(now)
+        while self.probes and self.probes[0][0] <= clock:
+            at, _, server = heappop(self.probes)
+            # An entry is void once the probe was put forward or is out.
+            if at == server.next_probe and not server.probing and server.state is not State.GONE:
+                server.probing = True
+                return Probe(server)
         due = now + 60 * SECOND       # nothing to do: any time will do
-        clock, stretch, home = self.probe_clock(now), self.stretch(now), self.near_easy(now)
-        for server in self.servers.values():
-            if server.state is State.GONE:
-                continue
-            if self.settings.probes and not server.probing:
-                if clock >= server.next_probe:
-                    server.probing = True
-                    return Probe(server)
-                due = min(due, now + 1 + int((server.next_probe - clock) * stretch))
-            flow = self.to_move(now, server, home)
-            if flow is not None:
-                return Move(flow)
+        if self.probes:
+            due = now + 1 + int((self.probes[0][0] - clock) * self.stretch(now))
+        if self.settings.zone_price >= max(HOMING * self.settings.move_price, DEAR_CROSSING):
+            if now >= self.next_home:
+                self.next_home, self.homing = now + SECOND, self.near_easy(now)
+                if self.homing:
+                    self.doubted.update((s, None) for s in self.servers.values() if s.zone != self.settings.zone)
+            due = min(due, self.next_home)
+        for server in list(self.doubted):
+            if now >= server.next_move:
+                flow = self.to_move(now, server)
+                if flow is not None:
+                    return Move(flow)
             if server.next_move > now:
                 due = min(due, server.next_move)
+            else:
+                del self.doubted[server]
         self.next_look = due
         return None
 
+    def probe_at(self, server: Server, clock: int) -> None:
+        server.next_probe = clock
+        if self.settings.probes:
+            self.entered += 1
+            heappush(self.probes, (clock, self.entered, server))
+
     def place(self, now: int, flow: Flow) -> Decision | None:
         """None holds the flow for a while: set-ups under way will make room."""
         if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
@@ -541,13 +571,14 @@
 
     # Moving established flows.
 
-    def to_move(self, now: int, server: Server, home: bool) -> Flow | None:
-        if not self.settings.moves or not server.flows or now < server.next_move:
+    def to_move(self, now: int, server: Server) -> Flow | None:
+        if not self.settings.moves or not server.flows:
             return None
         if not self.up(server) and server.known or server.misses >= MISSES:
             ready = [s for s in self.servers.values() if self.up(s)]
             sound = [s for s in ready if s.misses < MISSES and not self.strained(now, s)]
             if 2 * len(sound) < len(ready) or not sound:
+                server.next_move = now + SECOND
                 return None
             flow, pause = self.release(server), int(LOST_SPREAD / len(server.flows))
         elif self.load(server) > self.limit(now, server):
@@ -555,9 +586,8 @@
             load = self.load(server)
             alone = flow.grouped and server.groups[flow.key] == 1
             if self.fits(now, server, flow, load - 1 - GROUP_WORK * alone, load):
-                server.next_move = now + CUT_EVERY
-                return None
-        elif home and server.zone != self.settings.zone:
+                return None      # until a further cut
+        elif self.homing and server.zone != self.settings.zone:
             flow, pause = self.release(server), int(HOMING_SPREAD / len(server.flows))
         else:
             return None
@@ -566,10 +596,8 @@
         return flow
 
     def near_easy(self, now: int) -> bool:
-        """Whether flows that stand in another zone should come home: where a crossing costs many times a move, and
-        while no near server is strained or has had to be relieved."""
-        if self.settings.zone_price < max(HOMING * self.settings.move_price, DEAR_CROSSING):
-            return False
+        """Whether flows that stand in another zone should come home: while no near server is strained or has had to
+        be relieved."""
         near = [s for s in self.servers.values() if s.zone == self.settings.zone and self.up(s)]
         return bool(near) and all(
             now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -253,8 +253,7 @@
             far.flows[flow], flow.server = None, far
         if strained:
             ledger.balancer.delay_told(ledger.now, near, SECOND // 20)
-        ledger.balancer.next_look = ledger.now
-        ledger.pull()
+        ledger.pass_time(SECOND)
         assert (flow.id not in ledger.balancer.flows) is moved
 
 
