--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -491,7 +491,7 @@
                     continue
                 seen.add(server)
                 if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
-                    if server not in flow.tried and self.sound(now, server):
+                    if server not in flow.tried and self.sound(now, server, flow, server is home):
                         if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                             return server
                         spare = spare or server
@@ -520,9 +520,12 @@
         limit = self.limit(now, server)
         if with_it <= limit or without >= limit:
             return with_it <= limit
+        return without + (with_it - without) * self.rank(server, flow) <= limit
+
+    def rank(self, server: Server, flow: Flow) -> float:
+        """From 0 to 1: who yields first where only a part can stay. The same at all balancers for one key, mostly."""
         group, own = mix(flow.key ^ server.id), mix(flow.id ^ server.id)
-        chance = SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)
-        return without + (with_it - without) * chance / 0xFFFFFFFF <= limit
+        return (SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)) / 0xFFFFFFFF
 
     def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
@@ -537,11 +540,13 @@
         # A cold server takes only flows whose slot it is, not what others yield. In flight: one more than answered.
         return not self.cold(now, server) or home and server in flow.admitted and len(server.out) <= server.answers
 
-    def sound(self, now: int, server: Server) -> bool:
-        """Guards against a server that passes probes yet answers no flow, and against slow servers' full share."""
+    def sound(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
+        """Guards against a server that passes probes yet answers no flow, and against slow servers' full share. Of
+        the keys whose slot it is a strained server gives up part after part, the same at all balancers: each group
+        that stands in two places asks its own work twice."""
         if server.misses >= MISSES and (now < server.trial_at or server.out):
             return False
-        return not self.strained(now, server)
+        return not self.strained(now, server) or home and self.rank(server, flow) < 1 - server.strain
 
     def strained(self, now: int, server: Server) -> bool:
         return server.strain > STRAINED and now - server.strain_at < STRAIN_HOLD
