--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -495,8 +495,9 @@
                         if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                             return server
                         spare = spare or server
-                    last = last or server
-                if len(seen) == count:
+                    if last is None or server.strain < last.strain:
+                        last = server
+                if len(seen) == count or flow.grouped and len(seen) >= CHOICES and (spare or last):
                     break
         return spare or last
 
@@ -641,6 +642,7 @@
 COLD_CAUTION = 1.0            # of the reckoned budget: what others carry is less than they could, which is margin enough
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
+CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it ends up on most
 GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
 SAME_KEY = 0.8                # of that hash; the rest lets a group too big for any one server be split
 COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
