--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -103,7 +103,7 @@
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
-        # As long as what stands here is likely to have come within: what stands at the start tells the pace at once.
+        # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals = Decaying(30 * SECOND, now)
         self.keys: Counter[int] = Counter()
         self.probe_time, self.probe_time_at = 0, now      # the clock that probes go by; see `probe_clock`
@@ -152,6 +152,7 @@
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.hold(now, flow)
+        self.arrivals.add(now, 1)
         self.waiting.append(flow)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
@@ -227,7 +228,6 @@
 
     def hold(self, now: int, flow: Flow) -> None:
         self.flows[flow.id] = flow
-        self.arrivals.add(now, 1)
         self.keys[flow.key] += 1
         self.customers[flow.customer] += 1
 
@@ -297,7 +297,7 @@
         if not self.settings.probe_price:
             return 1.0
         seen = self.arrivals.tau * (1 - math.exp((self.started - now) / self.arrivals.tau))
-        flows = (self.arrivals.read(now) + 1) / max(seen, self.arrivals.tau / 2)
+        flows = (self.arrivals.read(now) + 1) / max(seen, self.arrivals.tau)      # one more: rather a few than none
         afford = flows * PROBE_POINTS / self.settings.probe_price
         return max(1.0, len(self.servers) / NORMAL / afford)
 
@@ -313,11 +313,11 @@
 
     def news(self, now: int, server: Server) -> None:
         """Whether to tell the others that a server is strained. Guards against flows sent back to it by balancers
-        that have none there to hear of it by. As many hear it as have flows there: by chance, two of them tell."""
+        that have none there to hear of it by. As many hear it as have flows there: by chance, one of them tells."""
         if not self.settings.peers or self.settings.instances < 2 or now - server.told_at < TELL_EVERY:
             return
         hearers = len(self.flows) * self.settings.instances / len(self.servers)
-        if self.draw() * hearers < 2:
+        if self.draw() * hearers < 1:
             server.told_at = now
             self.to_tell.append(server)
 
