--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -73,7 +73,7 @@
             overload_factor=rules["overloadFactor"], zone_price=params["deductions"].get("crossZone", 0.0),
             move_price=params["deductions"].get("moves", 0.0),
             probe_price=params["deductions"].get("probe", 0.0),
-            peers=limits.get("peerMessages", False),
+            peers=limits.get("peerMessages", False), peer_price=params["deductions"].get("peer", 0.0),
             # A customer may come without a share: then nothing of it is beyond one.
             shares=[math.inf if share is None else share for share in extra.get("tenantQuotaConnections") or []],
             overage_payoff=params.get("overagePayoff", 1.0),
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -313,11 +313,12 @@
 
     def news(self, now: int, server: Server) -> None:
         """Whether to tell the others that a server is strained. Guards against flows sent back to it by balancers
-        that have none there to hear of it by. As many hear it as have flows there: by chance, one of them tells."""
+        that have none there to hear of it by. As many hear it as have flows there: by chance, as many of them tell as the price allows."""
         if not self.settings.peers or self.settings.instances < 2 or now - server.told_at < TELL_EVERY:
             return
         hearers = len(self.flows) * self.settings.instances / len(self.servers)
-        if self.draw() * hearers < 1:
+        price = self.settings.peer_price * HINT_PART * (self.settings.instances - 1)
+        if self.draw() * hearers * price < TELL_POINTS:
             server.told_at = now
             self.to_tell.append(server)
 
@@ -648,6 +649,8 @@
 COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
+HINT_PART = 6 / 256           # of a full message, by which messages are priced
+TELL_POINTS = 0.05            # what hints of one server's strain may cost for each word, in points a flow: one or two tellers
 TELL_EVERY = 2 * SECOND       # within STRAIN_HOLD, or the others would come back before the next word
 SHED = 1.0                    # messages miss their target from here on
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -79,6 +79,7 @@
     move_price: float       # points for each flow moved once
     probe_price: float      # points for one probe a flow
     peers: bool             # instances can tell each other a few bytes
+    peer_price: float       # points for a full message a flow, for each that receives it
     shares: list[float]     # for each customer the standing flows within its share, all balancers together
     overage_payoff: float   # what a flow beyond the share is worth, as a part
     load_index: int         # place of the load over capacity in a server's report, -1 where none
