--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -87,7 +87,7 @@
         self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
-        self.to_tell: list[Server] = []
+        self.to_tell: list[tuple[Server, float]] = []
         self.probes: list[tuple[int, int, Server]] = []      # a heap, by the probe clock
         self.entered = 0
         self.doubted: dict[Server, None] = {}      # something was heard of them: flows there may have to move
@@ -104,7 +104,7 @@
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
         # Half a minute: a balancer among hundreds sees a few flows in it.
-        self.arrivals = Decaying(30 * SECOND, now)
+        self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         self.keys: Counter[int] = Counter()
         self.probe_time, self.probe_time_at = 0, now      # the clock that probes go by; see `probe_clock`
 
@@ -185,6 +185,8 @@
                 # that draw most flows, one after another, since each leaves room for the next.
                 if now - flow.sent < SETTLED:
                     server.full_until = now + self.jittered(TRIAL, JITTER)
+                    # Only this balancer saw it, and the client comes back to another one.
+                    self.news(now, server, SHED)
         else:
             self.judge_connect(now, server, outcome, took)
             if not outcome.never_ran and flow.may_have_run is None:
@@ -216,6 +218,7 @@
             if server.next_probe > self.probe_clock(now):
                 self.probe_at(server, self.probe_clock(now))
             self.doubt(now, server)
+            self.news(now, server, SHED)
             if outcome is Outcome.TIMEOUT:
                 self.setup_time.add(now, took)
                 self.setups.add(now, 1)
@@ -311,16 +314,17 @@
         if now - server.strain_at > STRAIN_HOLD or strain > server.strain:
             server.strain, server.strain_at = strain, now
 
-    def news(self, now: int, server: Server) -> None:
-        """Whether to tell the others that a server is strained. Guards against flows sent back to it by balancers
-        that have none there to hear of it by. As many hear it as have flows there: by chance, as many of them tell as the price allows."""
+    def news(self, now: int, server: Server, strain: float, hearers: float = 0.0) -> None:
+        """Tells the others that a server is strained. Guards against flows sent back to it by balancers that have
+        none there to hear of it by. Where many hear the same, as many of them tell, by chance, as the price allows."""
         if not self.settings.peers or self.settings.instances < 2 or now - server.told_at < TELL_EVERY:
             return
-        hearers = len(self.flows) * self.settings.instances / len(self.servers)
         price = self.settings.peer_price * HINT_PART * (self.settings.instances - 1)
-        if self.draw() * hearers * price < TELL_POINTS:
+        left = (self.arrivals.read(now) + 1) * HINT_POINTS - self.hints.read(now) * price
+        if self.draw() * price < left and self.draw() * hearers * price < TELL_POINTS:
             server.told_at = now
-            self.to_tell.append(server)
+            self.hints.add(now, 1)
+            self.to_tell.append((server, max(strain, server.strain)))
 
     def doubt(self, now: int, server: Server) -> None:
         self.doubted[server] = None
@@ -329,7 +333,8 @@
     def judge_strain(self, now: int, server: Server, strain: float) -> None:
         server.strain, server.strain_at = strain, now
         if strain >= STRAINED:
-            self.news(now, server)
+            # As many as have flows there.
+            self.news(now, server, strain, len(self.flows) * self.settings.instances / len(self.servers))
         if strain >= SHED:
             self.cut(now, server)
         else:
@@ -350,8 +355,7 @@
             self.held.clear()
         self.freed = False
         if self.to_tell:
-            server = self.to_tell.pop()
-            return Tell(server, server.strain)
+            return Tell(*self.to_tell.pop())
         while self.waiting:
             flow = self.waiting.popleft()
             if flow.id in self.flows:
@@ -650,6 +654,7 @@
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 HINT_PART = 6 / 256           # of a full message, by which messages are priced
+HINT_POINTS = 0.02            # what all hints may cost of a flow's worth
 TELL_POINTS = 0.05            # what hints of one server's strain may cost for each word, in points a flow: one or two tellers
 TELL_EVERY = 2 * SECOND       # within STRAIN_HOLD, or the others would come back before the next word
 SHED = 1.0                    # messages miss their target from here on
