--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -82,12 +82,12 @@
         return self.balancer(who).listed, FORMS[form], entries
 
     def flow(self, balancer, reader):
-        ident, qos, customer, key, until, _, group, _ = reader.take(FLOW, "flow")
+        ident, qos, customer, key, until, _, group, bits = reader.take(FLOW, "flow")
         types = balancer.settings.service_types
         if qos >= len(types):
             raise WireError(f"flow {ident}: no service type {qos}")
         return Flow(ident, types[qos], group or key or ident, nanoseconds(until, "giveUpAt"), customer,
-                    grouped=bool(group))
+                    grouped=bool(group), again=bool(bits & (2 | 16)))
 
     def arrival(self, who, reader, now):
         balancer = self.balancer(who)
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -152,7 +152,8 @@
 
     def arrived(self, now: int, flow: Flow) -> None:
         self.hold(now, flow)
-        self.arrivals.add(now, 1)
+        if not flow.again:
+            self.arrivals.add(now, 1)
         self.waiting.append(flow)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
@@ -500,8 +501,7 @@
                         if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                             return server
                         spare = spare or server
-                    if last is None or server.strain < last.strain:
-                        last = server
+                    last = last or server
                 if len(seen) == count or flow.grouped and len(seen) >= CHOICES and (spare or last):
                     break
         return spare or last
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -124,6 +124,7 @@
     until: int                      # the client's connect timeout
     customer: int = 0
     grouped: bool = False           # the key names a group, whose work its members share
+    again: bool = False             # its client comes back after a break or a move, or says that it repeats
     tried: list[Server] = field(default_factory=list)
     admitted: list[Server] = field(default_factory=list)    # the cold servers that it may go to
     server: Server | None = None    # where its connect is out or stands
