--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -81,9 +81,8 @@
         self.waiting: deque[Flow] = deque()
         self.held: deque[Flow] = deque()
         self.freed = False
-        self.stale, self.members, self.weight = True, [], 0.0      # the table's servers, and what they weigh
-        self.tables: list[tuple[list[Server], int]] = []
-        self.asked = 0.0              # what all servers are asked from here, as `load` counts it
+        self.stale, self.members = True, []      # the tables' servers
+        self.tables: list[tuple[list[Server], list[Server]]] = []
         self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
@@ -243,24 +242,20 @@
                 del self.keys[flow.key]
 
     def take(self, flow: Flow, server: Server, where: dict) -> None:
-        self.asked -= self.load(server)
         flow.server = server
         where[flow] = None
         if flow.grouped:
             server.groups[flow.key] += 1
-        self.asked += self.load(server)
 
     def drop(self, flow: Flow) -> None:
         server = flow.server
         if flow in server.out or flow in server.flows:
-            self.asked -= self.load(server)
             server.out.pop(flow, None)
             server.flows.pop(flow, None)
             if flow.grouped:
                 server.groups[flow.key] -= 1
                 if not server.groups[flow.key]:
                     del server.groups[flow.key]
-            self.asked += self.load(server)
         self.freed = True
 
     def load(self, server: Server, flow: Flow | None = None) -> float:
@@ -465,8 +460,8 @@
             return False
         return server.health >= RISE or not server.known
 
-    def pools(self) -> list[tuple[list[Server], int]]:
-        """The Maglev tables, nearest pool first, with how many servers each names. Without an up server the listed
+    def pools(self) -> list[tuple[list[Server], list[Server]]]:
+        """The Maglev tables, nearest pool first, with the servers that each names. Without an up server the listed
         ones serve: probes that all time out must never empty the table."""
         if self.stale:
             self.stale = False
@@ -476,21 +471,20 @@
             # Lists come in parts and mostly repeat what is known: a table is built when it would differ.
             members = [(s.id, s.zone, s.weight) for s in up]
             if members != self.members:
-                self.members, self.weight = members, sum(s.weight for s in up)
+                self.members = members
                 groups = [up]
                 if self.settings.zone_price >= DEAR_CROSSING:
                     groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
-                self.tables = [(maglev(group), len(group)) for group in groups if group]
+                self.tables = [(maglev(group), group) for group in groups if group]
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
         """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
         spare = last = None
-        for table, count in self.pools():
+        for table, servers in self.pools():
             slot = mix(flow.key) % TABLE_SIZE
             home, seen = table[slot], set()
-            # This balancer's connections for each unit of weight.
-            mean = self.asked / self.weight
+            mean = self.mean(now, servers)
             for at in range(slot, slot + TABLE_SIZE):
                 server = table[at % TABLE_SIZE]
                 if server in seen:
@@ -502,7 +496,7 @@
                             return server
                         spare = spare or server
                     last = last or server
-                if len(seen) == count or flow.grouped and len(seen) >= CHOICES and (spare or last):
+                if len(seen) == len(servers) or flow.grouped and len(seen) >= CHOICES and (spare or last):
                     break
         return spare or last
 
@@ -533,6 +527,12 @@
         group, own = mix(flow.key ^ server.id), mix(flow.id ^ server.id)
         return (SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)) / 0xFFFFFFFF
 
+    def mean(self, now: int, servers: list[Server]) -> float:
+        """This balancer's connections for each unit of weight, on the pool's sound servers: counting others, or other
+        pools, all sound ones could be over and flows would cross zones or land on a bad one."""
+        sound = [s for s in servers if s.misses < MISSES and now >= s.full_until and not self.strained(now, s)]
+        return sum(map(self.load, sound)) / sum(s.weight for s in sound) if sound else 0.0
+
     def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
         if now < server.full_until or len(server.out) >= IN_FLIGHT:
