--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -480,10 +480,10 @@
 
     def pick(self, now: int, flow: Flow) -> Server | None:
         """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
-        spare = last = None
+        last = None
         for table, servers in self.pools():
             slot = mix(flow.key) % TABLE_SIZE
-            home, seen = table[slot], set()
+            home, seen, spare = table[slot], set(), None
             mean = self.mean(now, servers)
             for at in range(slot, slot + TABLE_SIZE):
                 server = table[at % TABLE_SIZE]
@@ -498,7 +498,10 @@
                     last = last or server
                 if len(seen) == len(servers) or flow.grouped and len(seen) >= CHOICES and (spare or last):
                     break
-        return spare or last
+            # A server over the mean is still sound: that alone is no reason to cross to another pool.
+            if spare:
+                return spare
+        return last
 
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
