Where probes bring load reports, a flow's places are probed before it is placed

Cause: at full size a balancer's flows pay for a report of each server every half minute, and it placed by those.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -86,6 +86,7 @@
         self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
+        self.to_ask: list[Server] = []      # probes that a flow waits for
         self.to_tell: list[tuple[Server, float]] = []
         self.probes: list[tuple[int, int, Server]] = []      # a heap, by the probe clock
         self.entered = 0
@@ -269,6 +270,7 @@
 
     def probed(self, now: int, server: Server, passed: bool, load: float | None) -> None:
         server.probing = False
+        self.freed = True
         was_up = self.up(server)
         if passed:
             server.health = min(server.health + 1, RISE + FALL - 1)
@@ -346,7 +348,7 @@
 
     def decide(self, now: int) -> Decision | None:
         # Any of them may be due first: flows that were tried before are held for a shorter time.
-        if self.held and (self.freed or any(now >= flow.held_until for flow in self.held)):
+        if self.held and (self.freed or any(now >= flow.due(now) for flow in self.held)):
             self.waiting.extendleft(reversed(self.held))
             self.held.clear()
         self.freed = False
@@ -359,6 +361,8 @@
                 if decision is not None:
                     return decision
                 self.held.append(flow)
+        if self.to_ask:
+            return Probe(self.to_ask.pop())
         if self.next_ask is not None and now >= self.next_ask:
             self.next_ask = None
             self.subscribed = True
@@ -368,7 +372,7 @@
             if decision is not None:
                 return decision
         due = min([self.next_look] + [self.next_ask] * (self.next_ask is not None)
-                  + [flow.held_until for flow in self.held])
+                  + [flow.due(now) for flow in self.held])
         if not self.next_wake or due < self.next_wake:
             self.next_wake = due
             return Wake(due - now)
@@ -415,8 +419,12 @@
         """None holds the flow for a while: set-ups under way will make room."""
         if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
             return self.give_up(now, flow)
-        if not flow.tried and not flow.held_until:
+        if not flow.ask_until:
+            flow.ask_until = now + flow.type.setup_target // 10
             self.deal(now, flow)
+            self.ask(now, flow)
+        if now < flow.ask_until and any(s.probing for s in flow.asked):
+            return None
         server = self.pick(now, flow)
         if server is None:
             if not flow.held_until:
@@ -428,6 +436,25 @@
         self.take(flow, server, server.out)
         return Connect(flow, server, self.patience(now, flow))
 
+    def ask(self, now: int, flow: Flow) -> None:
+        """Where probes bring load reports, a probe of the flow's places before it is placed. Guards against sending by
+        reports as old as the interval that a balancer with few flows can pay for."""
+        if self.settings.load_index < 0 or not self.settings.probes:
+            return
+        for table, _ in self.pools()[:1]:
+            slot = mix(flow.key) % TABLE_SIZE
+            places: dict[Server, None] = {}
+            for at in range(slot, slot + TABLE_SIZE):
+                places[table[at % TABLE_SIZE]] = None
+                if len(places) == CHOICES:
+                    break
+            for server in places:
+                if server.probing or now - server.strain_at > FAST:
+                    flow.asked.append(server)
+                    if not server.probing:
+                        server.probing = True
+                        self.to_ask.append(server)
+
     def give_up(self, now: int, flow: Flow) -> Decision:
         """The final answer, at once. A reject only where another try does no harm."""
         self.forget(flow)
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -130,11 +130,17 @@
     server: Server | None = None    # where its connect is out or stands
     sent: int = 0
     held_until: int = 0
+    asked: list[Server] = field(default_factory=list)       # a probe of them is out on its behalf
+    ask_until: int = 0              # it waits for those no longer than that
     established: bool = False
     may_have_run: Server | None = None
     ran_at: int = 0                 # when the first connect that may have run was sent
     last: Outcome | None = None
 
+    def due(self, now: int) -> int:
+        """When it must be looked at again, if nothing happens before."""
+        return self.ask_until if now < self.ask_until or not self.held_until else self.held_until
+
 
 # What the module may decide; the host carries each out at once.
 
