--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -10,8 +10,10 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Iterator
 from hashlib import blake2b
 from heapq import heappop, heappush
+from itertools import chain, islice
 from zlib import crc32
 
 from cypresswalk.model import (SECOND, Abort, Connect, Decision, Effect, Flow, ListForm, Move, Outcome, Probe,
@@ -442,13 +444,7 @@
         if self.settings.load_index < 0 or not self.settings.probes:
             return
         for table, _ in self.pools()[:1]:
-            slot = mix(flow.key) % TABLE_SIZE
-            places: dict[Server, None] = {}
-            for at in range(slot, slot + TABLE_SIZE):
-                places[table[at % TABLE_SIZE]] = None
-                if len(places) == CHOICES:
-                    break
-            for server in places:
+            for server in islice(self.walk(table, flow.key), CHOICES):
                 if server.probing or now - server.strain_at > FAST:
                     flow.asked.append(server)
                     if not server.probing:
@@ -506,30 +502,35 @@
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
-        """The key's slot, or the first slot after it whose server need not be passed over; nearest pool first."""
+        """The key's slot, then where its group stands from here, then the first slot after it whose server need not be
+        passed over; nearest pool first."""
         last = None
         for table, servers in self.pools():
-            slot = mix(flow.key) % TABLE_SIZE
-            home, seen, spare = table[slot], set(), None
+            home, spare = table[mix(flow.key) % TABLE_SIZE], None
             mean = self.mean(now, servers)
-            for at in range(slot, slot + TABLE_SIZE):
-                server = table[at % TABLE_SIZE]
-                if server in seen:
-                    continue
-                seen.add(server)
+            stands = [s for s in servers if flow.key in s.groups] if flow.grouped else []
+            for place, server in enumerate(chain([home], stands, self.walk(table, flow.key)), -len(stands)):
+                if flow.grouped and place > CHOICES and (spare or last):
+                    break
                 if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
                     if server not in flow.tried and self.sound(now, server, flow, server is home):
                         if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
                             return server
                         spare = spare or server
                     last = last or server
-                if len(seen) == len(servers) or flow.grouped and len(seen) >= CHOICES and (spare or last):
-                    break
             # A server over the mean is still sound: that alone is no reason to cross to another pool.
             if spare:
                 return spare
         return last
 
+    def walk(self, table: list[Server], key: int) -> Iterator[Server]:
+        """The servers in the order in which the table names them from the key's slot on."""
+        slot, seen = mix(key) % TABLE_SIZE, set()
+        for server in chain(table[slot:], table[:slot]):
+            if server not in seen:
+                seen.add(server)
+                yield server
+
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
         ran = flow.may_have_run
