--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -646,11 +646,12 @@
 
     def release(self, server: Server) -> Flow:
         """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
-        wherever any of it stands; the newest of equals."""
+        wherever any of it stands; of equals the one that yields first at all balancers."""
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in self.customers.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
-        return min(reversed(server.flows), key=lambda f: (f.customer not in over, server.groups[f.key]))
+        return min(server.flows, key=lambda f: (f.customer not in over, server.groups[f.key],
+                                                             -self.rank(server, f)))
 
     def jittered(self, span: int, part: float) -> int:
         return int(span * (1 + part * (2 * self.draw() - 1)))
