--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -131,7 +131,10 @@
                 server.health = RISE - 1
                 server.fresh = form is not ListForm.CACHED
                 server.dealt = Decaying(max(2 * self.settings.fall_window, 1), now)
-                spread = 1 - 1 / self.stretch(now) if server.fresh else 1.0     # nothing to spread where probes are cheap
+                # A new server is of no use before its first probe: that one is spread over two seconds of time, and
+                # not at all where probes are cheap. Guards against a grown fleet that stands empty.
+                stretch = self.stretch(now)
+                spread = (1 - 1 / stretch) / stretch if server.fresh else 1.0
                 self.probe_at(server, self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread))
             else:
                 back = server.state is State.GONE and entry.state is State.READY
