--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -58,7 +58,7 @@
         targets = extra.get("messageAim", [])
         fields = params["stats"]["fields"] if params["stats"]["via"] != "silent" else []
         return Settings(
-            me=params["me"], instances=params["instances"], zone=params["zone"],
+            instances=params["instances"], zone=params["zone"],
             service_types=[
                 ServiceType(EFFECTS[t["semantics"]], Scope(t.get("group", "all")),
                             nanoseconds(t.get("window", 0.0), "window"),
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -510,14 +510,14 @@
         last = None
         for table, servers in self.pools():
             home, spare = table[mix(flow.key) % TABLE_SIZE], None
-            mean = self.mean(now, servers)
             stands = [s for s in servers if flow.key in s.groups] if flow.grouped else []
             for place, server in enumerate(chain([home], stands, self.walk(table, flow.key)), -len(stands)):
                 if flow.grouped and place > CHOICES and (spare or last):
                     break
                 if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
                     if server not in flow.tried and self.sound(now, server, flow, server is home):
-                        if self.load(server, flow) <= max(PASS_OVER * mean * server.weight, PASS_OVER_FLOOR):
+                        load = self.load(server, flow)
+                        if load <= PASS_OVER_FLOOR or load <= PASS_OVER * self.mean(now, servers) * server.weight:
                             return server
                         spare = spare or server
                     last = last or server
@@ -599,20 +599,22 @@
         chance that is dealt from this balancer's part of the budget, used or not: so the sum holds though all
         balancers see as many flows at once as this one does. A key that makes up more of the flows here than the
         server of the fleet is let in that much less."""
+        cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
+        if not cold:
+            return
         s = self.settings
         seen = 1 - math.exp((self.started - now) / self.carried.tau)
         usual = self.carried.read(now) / max(seen, 0.05) * s.fall_window / self.carried.tau
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = self.keys[flow.key] / len(self.flows) if flow.grouped else 0.0
-        for server in self.servers.values():
-            if self.cold(now, server) and self.up(server):
-                warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
-                left = COLD_CAUTION * s.overload_factor * warmed * usual - server.dealt.read(now)
-                part = min(max(left, 0.0), 1.0)
-                server.dealt.add(now, part)
-                share = server.weight / max(fleet, server.weight)
-                if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
-                    flow.admitted.append(server)
+        for server in cold:
+            warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
+            left = COLD_CAUTION * s.overload_factor * warmed * usual - server.dealt.read(now)
+            part = min(max(left, 0.0), 1.0)
+            server.dealt.add(now, part)
+            share = server.weight / max(fleet, server.weight)
+            if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
+                flow.admitted.append(server)
 
     # Moving established flows.
 
@@ -669,7 +671,7 @@
 HOMING = 3                    # a move costs its client a gap besides its price
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
 PASS_OVER = 1.5               # well over the mean; nearer to it, groups are scattered for little balance
-PASS_OVER_FLOOR = 10           # below three connections a count says nothing
+PASS_OVER_FLOOR = 10          # a few flows with a group each: below that a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
 DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
@@ -690,7 +692,7 @@
 STRAIN_HOLD = 3 * SECOND      # notes come each second: three missed ones are no news
 HINT_PART = 6 / 256           # of a full message, by which messages are priced
 HINT_POINTS = 0.02            # what all hints may cost of a flow's worth
-TELL_POINTS = 0.05            # what hints of one server's strain may cost for each word, in points a flow: one or two tellers
+TELL_POINTS = 0.05            # what one word of a server's strain may cost, told a flow: one or two tellers
 TELL_EVERY = 2 * SECOND       # within STRAIN_HOLD, or the others would come back before the next word
 SHED = 1.0                    # messages miss their target from here on
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -60,7 +60,6 @@
 
 @dataclass(slots=True)
 class Settings:
-    me: int
     instances: int
     zone: int
     service_types: list[ServiceType]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,7 +12,7 @@
 
 
 def settings(**changes) -> Settings:
-    values = dict(me=0, instances=1, zone=0, service_types=[service()], max_connects=3, retry_after=False,
+    values = dict(instances=1, zone=0, service_types=[service()], max_connects=3, retry_after=False,
                   max_retry_after=0, probes=True, moves=True, list_asked=False, ask_within=10 * SECOND,
                   cold=20 * SECOND, cold_share=0.2, fall_window=2 * SECOND, overload_factor=3.0, zone_price=0.0,
                   move_price=0.0, probe_price=0.0, peers=False, peer_price=0.0, shares=[], overage_payoff=1.0, load_index=-1)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -58,7 +58,7 @@
 
 
 def test_instances_agree_on_a_key_whatever_their_seed():
-    ledgers = [Ledger(6, me=me, instances=3) for me in range(3)]
+    ledgers = [Ledger(6, instances=3) for me in range(3)]
     for key in range(1, 40):
         flows = [ledger.arrive(key=key) for ledger in ledgers]
         assert len({flow.server.id for flow in flows}) == 1
@@ -131,7 +131,7 @@
 
 def test_all_balancers_at_once_keep_a_cold_servers_budget():
     instances, window, factor, share, warm = 3, 2, 3.0, 0.2, 20
-    ledgers = [Ledger(1, me=me, instances=instances) for me in range(instances)]
+    ledgers = [Ledger(1, instances=instances) for me in range(instances)]
     for ledger in ledgers:
         settle(ledger)
         for _ in range(120):      # one flow ends well every half second: 2 a second at each, 6 in all
@@ -299,7 +299,7 @@
 def test_a_limit_under_one_flow_keeps_its_part_and_all_balancers_yield_the_same_keys():
     kept = []
     for me in range(2):
-        ledger = Ledger(1, me=me, instances=2)
+        ledger = Ledger(1, instances=2)
         balancer, server = ledger.balancer, ledger.balancer.servers[7]
         server.limit, server.cut_at = 0.5, ledger.now
         kept.append({key for key in range(1, 201)
@@ -318,7 +318,7 @@
     ledger.balancer.delay_told(ledger.now, strained, SECOND)
     ledger.pull()
     assert len(ledger.told) == 1, "the same is not told again at once"
-    other = Ledger(3, me=1, peers=True, instances=3)
+    other = Ledger(3, peers=True, instances=3)
     settle(other)
     other.balancer.peer_told(other.now, other.balancer.servers[7], ledger.told[0][1])
     fill(other, 30)
