--- a/cypresswalk/benchlink/host.py
+++ b/cypresswalk/benchlink/host.py
@@ -5,7 +5,8 @@
 
 from cypresswalk.benchlink.wire import Reader, WireError, entry, nanoseconds, settings
 from cypresswalk.choice import Balancer
-from cypresswalk.model import Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Subscribe, Tell, Wake
+from cypresswalk.model import (Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Subscribe, Tell,
+                               Wake)
 
 FORMS = {0: ListForm.DELTA, 1: ListForm.FULL, 2: ListForm.CACHED, 3: ListForm.FAILED}
 OUTCOMES = {100: Outcome.OK, 301: Outcome.ERROR, 302: Outcome.FULL, 303: Outcome.TIMEOUT,
@@ -110,7 +111,8 @@
     def current(self, who, ident, number) -> Flow | None:
         """The flow, if it is still held and the connect meant is its latest."""
         flow = self.balancer(who).flows.get(ident)
-        return flow if flow is not None and flow.server is not None and number == len(flow.tried) - 1 else None
+        latest = flow is not None and flow.server is not None and number == len(flow.tried) - 1
+        return flow if latest else None
 
     def reply(self, who, reader, now):
         ident, _, final, took, number, how, n = reader.take(REPLY, "Reply")
--- a/cypresswalk/benchlink/wire.py
+++ b/cypresswalk/benchlink/wire.py
@@ -9,7 +9,8 @@
 HEADER = struct.Struct("<IId")
 ENTRY = struct.Struct("<HdHIHfB")
 STATES = {0: State.READY, 1: State.GONE, 2: State.DRAINING}
-EFFECTS = {"idempotent": Effect.REPEATABLE, "deduplicated": Effect.REFERENCED, "at_most_once": Effect.ONCE_ONLY}
+EFFECTS = {"idempotent": Effect.REPEATABLE, "deduplicated": Effect.REFERENCED,
+           "at_most_once": Effect.ONCE_ONLY}
 
 
 class WireError(Exception):
@@ -22,14 +23,16 @@
 
     def take(self, layout: struct.Struct, what: str) -> tuple:
         if self.at + layout.size > len(self.data):
-            raise WireError(f"{what} at byte {self.at}: {layout.size} bytes needed, {len(self.data) - self.at} left")
+            left = len(self.data) - self.at
+            raise WireError(f"{what} at byte {self.at}: {layout.size} bytes needed, {left} left")
         values = layout.unpack_from(self.data, self.at)
         self.at += layout.size
         return values
 
     def chunk(self, count: int, what: str) -> bytes:
         if self.at + count > len(self.data):
-            raise WireError(f"{what} at byte {self.at}: {count} bytes needed, {len(self.data) - self.at} left")
+            left = len(self.data) - self.at
+            raise WireError(f"{what} at byte {self.at}: {count} bytes needed, {left} left")
         self.at += count
         return self.data[self.at - count:self.at]
 
@@ -75,7 +78,8 @@
             probe_price=params["deductions"].get("probe", 0.0),
             peers=limits.get("peerMessages", False), peer_price=params["deductions"].get("peer", 0.0),
             # A customer may come without a share: then nothing of it is beyond one.
-            shares=[math.inf if share is None else share for share in extra.get("tenantQuotaConnections") or []],
+            shares=[math.inf if share is None else share
+                    for share in extra.get("tenantQuotaConnections") or []],
             overage_payoff=params.get("overagePayoff", 1.0),
             load_index=fields.index("x0") if "x0" in fields else -1)
     except KeyError as error:
--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -1,11 +1,11 @@
 """Every decision of the balancer: which server a flow goes to, and when servers are judged, spared or left.
 
 How it is called: a host makes one Balancer per instance from its settings, a seed and the time, tells it what
-happens (listed, arrived, resumed, established, ended, left, probed, delay_told, peer_told, woken) and then calls
-decide() until that returns None, carrying out each decision at once. Inputs only update what is known; all
-deciding is done in decide(). Times are whole nanoseconds of the host's clock.
+happens (listed, arrived, resumed, established, ended, left, probed, delay_told, peer_told, woken) and then
+calls decide() until that returns None, carrying out each decision at once. Inputs only update what is known;
+all deciding is done in decide(). Times are whole nanoseconds of the host's clock.
 Where the interface stands: the types in model.py are all that a host needs. `servers` and `flows` map ids to
-objects for the host's door; nothing else in here is for the host, and nothing here knows a wire or a protocol.
+objects for the host's door; nothing else in here is for the host, and nothing here knows a wire or protocol.
 """
 
 import math
@@ -25,7 +25,7 @@
 DOWN = 10 * SECOND             # down: the design's
 JITTER = 0.1                   # the article's 10%
 
-TABLE_SIZE = 1021              # prime; some fifty slots for each of twenty servers keeps shares within a few percent
+TABLE_SIZE = 1021              # prime; fills give each of seventy servers 14 or 15 slots: even to 7%
 
 
 def mix(number: int) -> int:
@@ -42,7 +42,8 @@
     turns = []
     for server in sorted(servers, key=lambda s: s.id):
         digest = mix(server.id)
-        turns.append([server, (digest & (1 << 64) - 1) % TABLE_SIZE, 1 + (digest >> 64) % (TABLE_SIZE - 1), 0.0])
+        offset, skip = (digest & (1 << 64) - 1) % TABLE_SIZE, 1 + (digest >> 64) % (TABLE_SIZE - 1)
+        turns.append([server, offset, skip, 0.0])
     free = TABLE_SIZE
     while True:
         for turn in turns:
@@ -131,8 +132,9 @@
                 server.health = RISE - 1
                 server.fresh = form is not ListForm.CACHED
                 server.dealt = Decaying(max(2 * self.settings.fall_window, 1), now)
-                # A new server is of no use before its first probe: that one is spread over two seconds of time, and
-                # not at all where probes are cheap. Guards against a grown fleet that stands empty.
+                # A new server is of no use before its first probe: that one is spread over two seconds of
+                # time, and not at all where probes are cheap. Guards against a grown fleet that stands
+                # empty.
                 stretch = self.stretch(now)
                 spread = (1 - 1 / stretch) / stretch if server.fresh else 1.0
                 self.probe_at(server, self.probe_clock(now) + int(self.jittered(FAST, 0.9) * spread))
@@ -187,8 +189,8 @@
                 self.carried.add(now, 1)
             elif outcome is Outcome.RESET and self.up(server):
                 self.cut(now, server)
-                # A server that drops what it has just set up is as good as full: guards against a few such servers
-                # that draw most flows, one after another, since each leaves room for the next.
+                # A server that drops what it has just set up is as good as full: guards against a few such
+                # servers that draw most flows, one after another, since each leaves room for the next.
                 if now - flow.sent < SETTLED:
                     server.full_until = now + self.jittered(TRIAL, JITTER)
                     # Only this balancer saw it, and the client comes back to another one.
@@ -204,8 +206,9 @@
             self.waiting.append(flow)
 
     def cut(self, now: int, server: Server) -> None:
-        """One step down from what was too much. Guards against the jam in which a full server's pile makes all its
-        messages late, and what it drops comes straight back, is set up again at a price, and is dropped."""
+        """One step down from what was too much. Guards against the jam in which a full server's pile makes
+        all its messages late, and what it drops comes straight back, is set up again at a price, and is
+        dropped."""
         if now - server.cut_at < CUT_EVERY or server.strain < EASING * server.cut_strain:
             return
         self.keep_at(now, server, CUT * max(1 - server.delay / DRAIN, KEEP_LEAST) * self.load(server))
@@ -265,8 +268,9 @@
         self.freed = True
 
     def load(self, server: Server, flow: Flow | None = None) -> float:
-        """What the server is asked from here, with that flow if one is given, counted in connections. A group asks
-        its own work wherever any of it stands: guards against groups that passing over scatters everywhere."""
+        """What the server is asked from here, with that flow if one is given, counted in connections. A
+        group asks its own work wherever any of it stands: guards against groups that passing over scatters
+        everywhere."""
         groups = len(server.groups)
         if flow is None:
             return len(server.out) + len(server.flows) + GROUP_WORK * groups
@@ -293,8 +297,8 @@
         self.doubt(now, server)
 
     def probe_clock(self, now: int) -> int:
-        """Runs with time, but no faster than this balancer's own flows can pay for probes of every server. Guards
-        against many balancers whose probes cost more than their flows earn."""
+        """Runs with time, but no faster than this balancer's own flows can pay for probes of every server.
+        Guards against many balancers whose probes cost more than their flows earn."""
         self.probe_time += int((now - self.probe_time_at) / self.stretch(now))
         self.probe_time_at = now
         return self.probe_time
@@ -303,7 +307,8 @@
         if not self.settings.probe_price:
             return 1.0
         seen = self.arrivals.tau * (1 - math.exp((self.started - now) / self.arrivals.tau))
-        flows = (self.arrivals.read(now) + 1) / max(seen, self.arrivals.tau)      # one more: rather a few than none
+        # One more than came: rather a few probes than none.
+        flows = (self.arrivals.read(now) + 1) / max(seen, self.arrivals.tau)
         afford = flows * PROBE_POINTS / self.settings.probe_price
         return max(1.0, len(self.servers) / NORMAL / afford)
 
@@ -318,8 +323,9 @@
             server.strain, server.strain_at = strain, now
 
     def news(self, now: int, server: Server, strain: float, hearers: float = 0.0) -> None:
-        """Tells the others that a server is strained. Guards against flows sent back to it by balancers that have
-        none there to hear of it by. Where many hear the same, as many of them tell, by chance, as the price allows."""
+        """Tells the others that a server is strained. Guards against flows sent back to it by balancers
+        that have none there to hear of it by. Where many hear the same, as many of them tell, by chance, as
+        the price allows."""
         if not self.settings.peers or self.settings.instances < 2 or now - server.told_at < TELL_EVERY:
             return
         price = self.settings.peer_price * HINT_PART * (self.settings.instances - 1)
@@ -384,8 +390,9 @@
         return None
 
     def look(self, now: int) -> Decision | None:
-        """Probes that are due and flows to be moved. Only what something was heard of is looked at: walking the whole
-        fleet at each word from any server took hundreds of balancers more time than all else together."""
+        """Probes that are due and flows to be moved. Only what something was heard of is looked at: walking
+        the whole fleet at each word from any server took hundreds of balancers more time than all else
+        together."""
         clock = self.probe_clock(now)
         while self.probes and self.probes[0][0] <= clock:
             at, _, server = heappop(self.probes)
@@ -400,7 +407,8 @@
             if now >= self.next_home:
                 self.next_home, self.homing = now + SECOND, self.near_easy(now)
                 if self.homing:
-                    self.doubted.update((s, None) for s in self.servers.values() if s.zone != self.settings.zone)
+                    far = (s for s in self.servers.values() if s.zone != self.settings.zone)
+                    self.doubted.update(dict.fromkeys(far))
             due = min(due, self.next_home)
         for server in list(self.doubted):
             if now >= server.next_move:
@@ -422,7 +430,8 @@
 
     def place(self, now: int, flow: Flow) -> Decision | None:
         """None holds the flow for a while: set-ups under way will make room."""
-        if flow.until <= now or len(flow.tried) >= self.settings.max_connects or not self.may_go_again(now, flow):
+        spent = len(flow.tried) >= self.settings.max_connects
+        if flow.until <= now or spent or not self.may_go_again(now, flow):
             return self.give_up(now, flow)
         if not flow.ask_until:
             flow.ask_until = now + flow.type.setup_target // 10
@@ -442,8 +451,8 @@
         return Connect(flow, server, self.patience(now, flow))
 
     def ask(self, now: int, flow: Flow) -> None:
-        """Where probes bring load reports, a probe of the flow's places before it is placed. Guards against sending by
-        reports as old as the interval that a balancer with few flows can pay for."""
+        """Where probes bring load reports, a probe of the flow's places before it is placed. Guards against
+        sending by reports as old as the interval that a balancer with few flows can pay for."""
         if self.settings.load_index < 0 or not self.settings.probes:
             return
         for table, _ in self.pools()[:1]:
@@ -470,8 +479,9 @@
         return flow.type.effect is Effect.REFERENCED and now < flow.ran_at + flow.type.window
 
     def patience(self, now: int, flow: Flow) -> int:
-        """How long a connect may stay out: half the setup target, so that a second one can still meet it; more
-        where set-ups are slow everywhere, and all the time there is for the last one or one not to be repeated."""
+        """How long a connect may stay out: half the setup target, so that a second one can still meet it;
+        more where set-ups are slow everywhere, and all the time there is for the last one or one not to be
+        repeated."""
         last = len(flow.tried) >= self.settings.max_connects
         if last or flow.type.effect is not Effect.REPEATABLE:
             return 0
@@ -487,8 +497,8 @@
         return server.health >= RISE or not server.known
 
     def pools(self) -> list[tuple[list[Server], list[Server]]]:
-        """The Maglev tables, nearest pool first, with the servers that each names. Without an up server the listed
-        ones serve: probes that all time out must never empty the table."""
+        """The Maglev tables, nearest pool first, with the servers that each names. Without an up server the
+        listed ones serve: probes that all time out must never empty the table."""
         if self.stale:
             self.stale = False
             up = [s for s in self.servers.values() if self.up(s)]
@@ -500,13 +510,14 @@
                 self.members = members
                 groups = [up]
                 if self.settings.zone_price >= DEAR_CROSSING:
-                    groups = [[s for s in up if (s.zone == self.settings.zone) is near] for near in (True, False)]
+                    zone = self.settings.zone
+                    groups = [[s for s in up if (s.zone == zone) is near] for near in (True, False)]
                 self.tables = [(maglev(group), group) for group in groups if group]
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
-        """The key's slot, then where its group stands from here, then the first slot after it whose server need not be
-        passed over; nearest pool first."""
+        """The key's slot, then where its group stands from here, then the first slot after it whose server
+        need not be passed over; nearest pool first."""
         last = None
         for table, servers in self.pools():
             home, spare = table[mix(flow.key) % TABLE_SIZE], None
@@ -516,8 +527,9 @@
                     break
                 if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
                     if server not in flow.tried and self.sound(now, server, flow, server is home):
-                        load = self.load(server, flow)
-                        if load <= PASS_OVER_FLOOR or load <= PASS_OVER * self.mean(now, servers) * server.weight:
+                        load = self.load(server, flow) / server.weight
+                        if (load * server.weight <= PASS_OVER_FLOOR
+                                or load <= PASS_OVER * self.mean(now, servers)):
                             return server
                         spare = spare or server
                     last = last or server
@@ -535,7 +547,8 @@
                 yield server
 
     def in_scope(self, flow: Flow, server: Server) -> bool:
-        """Guards against a second effect: a referenced flow that may have run stays where repeats are dropped."""
+        """Guards against a second effect: a referenced flow that may have run stays where repeats are
+        dropped."""
         ran = flow.may_have_run
         if ran is None or flow.type.effect is Effect.REPEATABLE or flow.type.scope is Scope.ALL:
             return True
@@ -548,23 +561,27 @@
         return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
 
     def fits(self, now: int, server: Server, flow: Flow, without: float, with_it: float) -> bool:
-        """Whether that flow may be among what the limit leaves. Where one flow is more than the limit has left, the
-        part is kept by a hash of key and server, mostly: so hundreds of balancers with a flow each yield the same
-        groups to the same next servers, and in the sum as much as each would if it held them all."""
+        """Whether that flow may be among what the limit leaves. Where one flow is more than the limit has
+        left, the part is kept by a hash of key and server, mostly: so hundreds of balancers with a flow
+        each yield the same groups to the same next servers, and in the sum as much as each would if it held
+        them all."""
         limit = self.limit(now, server)
         if with_it <= limit or without >= limit:
             return with_it <= limit
         return without + (with_it - without) * self.rank(server, flow) <= limit
 
     def rank(self, server: Server, flow: Flow) -> float:
-        """From 0 to 1: who yields first where only a part can stay. The same at all balancers for one key, mostly."""
+        """From 0 to 1: who yields first where only a part can stay. The same at all balancers for one key,
+        mostly."""
         group, own = mix(flow.key ^ server.id), mix(flow.id ^ server.id)
         return (SAME_KEY * (group & 0xFFFFFFFF) + (1 - SAME_KEY) * (own & 0xFFFFFFFF)) / 0xFFFFFFFF
 
     def mean(self, now: int, servers: list[Server]) -> float:
-        """This balancer's connections for each unit of weight, on the pool's sound servers: counting others, or other
-        pools, all sound ones could be over and flows would cross zones or land on a bad one."""
-        sound = [s for s in servers if s.misses < MISSES and now >= s.full_until and not self.strained(now, s)]
+        """This balancer's connections for each unit of weight, on the pool's sound servers: counting
+        others, or other pools, all sound ones could be over and flows would cross zones or land on a bad
+        one."""
+        sound = [s for s in servers
+                 if s.misses < MISSES and now >= s.full_until and not self.strained(now, s)]
         return sum(map(self.load, sound)) / sum(s.weight for s in sound) if sound else 0.0
 
     def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
@@ -573,17 +590,20 @@
             return False
         if not self.fits(now, server, flow, self.load(server), self.load(server, flow)):
             return False
-        # Another copy of a group needs room to spare: near their limits servers would trade connections for copies.
+        # Another copy of a group needs room to spare: near their limits servers would trade connections for
+        # copies.
         if flow.grouped and not home and flow.key not in server.groups:
             if self.load(server, flow) > COPY_ROOM * self.limit(now, server):
                 return False
-        # A cold server takes only flows whose slot it is, not what others yield. In flight: one more than answered.
-        return not self.cold(now, server) or home and server in flow.admitted and len(server.out) <= server.answers
+        # A cold server takes only flows whose slot it is, not what others yield. In flight: one more than
+        # answered.
+        return (not self.cold(now, server)
+                or home and server in flow.admitted and len(server.out) <= server.answers)
 
     def sound(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
-        """Guards against a server that passes probes yet answers no flow, and against slow servers' full share. Of
-        the keys whose slot it is a strained server gives up part after part, the same at all balancers: each group
-        that stands in two places asks its own work twice."""
+        """Guards against a server that passes probes yet answers no flow, and against slow servers' full
+        share. Of the keys whose slot it is a strained server gives up part after part, the same at all
+        balancers: each group that stands in two places asks its own work twice."""
         if server.misses >= MISSES and (now < server.trial_at or server.out):
             return False
         return not self.strained(now, server) or home and self.rank(server, flow) < 1 - server.strain
@@ -595,10 +615,10 @@
         return server.since > 0 and now - server.since < self.settings.cold
 
     def deal(self, now: int, flow: Flow) -> None:
-        """Guards cold servers against the sum of all balancers. Each flow that comes may go to a cold server by a
-        chance that is dealt from this balancer's part of the budget, used or not: so the sum holds though all
-        balancers see as many flows at once as this one does. A key that makes up more of the flows here than the
-        server of the fleet is let in that much less."""
+        """Guards cold servers against the sum of all balancers. Each flow that comes may go to a cold
+        server by a chance that is dealt from this balancer's part of the budget, used or not: so the sum
+        holds though all balancers see as many flows at once as this one does. A key that makes up more of
+        the flows here than the server of the fleet is let in that much less."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         if not cold:
             return
@@ -643,15 +663,16 @@
         return flow
 
     def near_easy(self, now: int) -> bool:
-        """Whether flows that stand in another zone should come home: while no near server is strained or has had to
-        be relieved."""
+        """Whether flows that stand in another zone should come home: while no near server is strained or
+        has had to be relieved."""
         near = [s for s in self.servers.values() if s.zone == self.settings.zone and self.up(s)]
         return bool(near) and all(
-            now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf for s in near)
+            now - s.strain_at > STRAIN_HOLD and s.misses < MISSES and self.limit(now, s) == math.inf
+            for s in near)
 
     def release(self, server: Server) -> Flow:
-        """A flow beyond its customer's share before others, the smallest group first, since a group asks its own work
-        wherever any of it stands; of equals the one that yields first at all balancers."""
+        """A flow beyond its customer's share before others, the smallest group first, since a group asks
+        its own work wherever any of it stands; of equals the one that yields first at all balancers."""
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in self.customers.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
@@ -673,19 +694,19 @@
 PASS_OVER = 1.5               # well over the mean; nearer to it, groups are scattered for little balance
 PASS_OVER_FLOOR = 10          # a few flows with a group each: below that a count says nothing
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
-CUT = 0.85                    # one step back under what was too much, as is common for additive-increase limits
-DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in this time
+CUT = 0.85                    # one step back under what was too much, as additive-increase limits often take
+DRAIN = 4 * SECOND            # messages wait behind a pile; what stays leaves room to work it off in that
 KEEP_LEAST = 0.5              # and a cut takes no more than about half
 SETTLED = 2 * SECOND          # a flow dropped within this time of its connect was among the newest
 EASING = 0.8                  # strain that falls like this is on its way out without a further step
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
-TRIAL = 2 * SECOND            # how often one flow tries it again: rarely against a time-out, often against a trouble
-COLD_CAUTION = 1.0            # of the reckoned budget: what others carry is less than they could, which is margin enough
+TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
+COLD_CAUTION = 1.0            # of the reckoned budget: what servers carry is less than they could
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
-LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself counts as a target missed
-CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it ends up on most
-GROUP_WORK = 2                # told nowhere: as much as a few connections, or groups would not be worth keeping whole
+LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
+CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
+GROUP_WORK = 2                # told nowhere: as much as a few connections, else groups were not worth keeping
 SAME_KEY = 0.8                # of that hash; the rest lets a group too big for any one server be split
 COPY_ROOM = 0.75              # of the limit: the rest is for the groups that stand there already
 IN_FLIGHT = 4                 # set-ups out at a server: about one a core; more only wait there for each other
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -98,11 +98,11 @@
     probing: bool = False
     next_probe: int = 0
     next_move: int = 0
-    dealt: object = None            # a decaying sum: the part of its cold budget that this balancer has dealt out
+    dealt: object = None            # a decaying sum: what this balancer has dealt out of its budget
     answers: int = 0                # connects established since its start
     misses: int = 0                 # connects unanswered since the last that was established
     trial_at: int = 0               # when one flow may try a server with misses again
-    strain: float = 0.0             # slowness as last told: 1 is a message at its target, or all capacity asked
+    strain: float = 0.0             # as last told: 1 is a message at its target, or all capacity asked
     strain_at: int = 0
     full_until: int = 0
     limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
