--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -439,6 +439,13 @@
             self.ask(now, flow)
         if now < flow.ask_until and any(s.probing for s in flow.asked):
             return None
+        # A client that comes back to places that all miss their targets would only be dropped again. Guards against
+        # the jam in which hundreds of balancers set up, by turns, what the servers cannot hold.
+        jam = flow.again and flow.grouped and all(
+            s.strain >= SHED and self.strained(now, s)
+            for table, _ in self.pools()[:1] for s in islice(self.walk(table, flow.key), CHOICES))
+        if jam:
+            return self.give_up(now, flow)
         server = self.pick(now, flow)
         if server is None:
             if not flow.held_until:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -372,3 +372,13 @@
     silent = ledger.arrive(key=flow.key + 1)
     ledger.pass_time(SECOND // 10)
     assert silent.server is not None, "an unanswered probe holds no flow for long"
+
+
+def test_a_returning_client_is_rejected_at_once_while_its_places_all_miss_their_targets():
+    # Seen after the loss of a zone: 60 connects a flow, each dropped as soon as it was set up.
+    ledger = Ledger(6)
+    settle(ledger)
+    for server in ledger.balancer.servers.values():
+        server.strain, server.strain_at = 2.0, ledger.now
+    flows = [ledger.arrive(key=key, grouped=True, again=key % 2 == 0) for key in range(1, 9)]
+    assert [ledger.answers.get(flow.id) for flow in flows] == [None, "reject"] * 4
