--- a/cypresswalk/net/program.py
+++ b/cypresswalk/net/program.py
@@ -36,11 +36,11 @@
 class Program:
     """The drivers that the core calls, and the one thread that calls the core."""
 
-    def __init__(self, config: Config, policy: type[Balancer] = Balancer):
+    def __init__(self, config: Config, policy: type[Balancer] = Balancer, core: Callable[..., Core] = Core):
         self.limits, self.path = config.limits, config.path
         self.clock = Clock()
         self.inbox, self.counters = Inbox(self.clock), Counters()
-        self.core = Core(config, self, self.counters, self.clock(), policy)
+        self.core = core(config, self, self.counters, self.clock(), policy)
         registry = Registry(config.zones)
         try:
             _, entries = registry.decode(config.known)
@@ -177,8 +177,8 @@
         program.keep_state(asked.state.folder, asked.state.every_s, config)
 
 
-def main(policy: type[Balancer] = Balancer) -> int:
-    """Another policy than the product's own is for comparison alone."""
+def main(policy: type[Balancer] = Balancer, core: Callable[..., Core] = Core) -> int:
+    """Another policy or core than the product's own is for comparison and tracing alone."""
     # Until there is something to reload; its own action would end the start.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
@@ -190,7 +190,7 @@
     sys.setswitchinterval(SWITCH_INTERVAL)
     threading.stack_size(config.limits.stack)
     try:
-        program = Program(config, policy)
+        program = Program(config, policy, core)
         if operator := os.environ.get("PROXY_OPERATOR"):
             enable(program, operator, config)
     except (ConfigError, OSError) as error:
