A cold server takes the same part of the flows the table brings it at every balancer

Change: the part is the warmed share times half the stated multiple, at all balancers, less in a retry storm.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -104,6 +104,8 @@
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
+        # Twice the window of the cold budget: long enough that a window's worth shows whole.
+        self.lately = Decaying(max(2 * settings.fall_window, 1), now)
         # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         self.keys: Counter[int] = Counter()
@@ -457,7 +459,7 @@
         if flow.again and flow.grouped and all(
                 s.strain >= SHED and self.strained(now, s) for s in islice(places, CHOICES)):
             return self.give_up(now, flow)
-        server = self.pick(now, flow) or self.pick(now, flow, pressed=True)
+        server = self.pick(now, flow)
         if server is None:
             if not flow.held_until:
                 flow.held_until = min(now + flow.type.setup_target // 2, flow.until)
@@ -532,7 +534,7 @@
                 self.tables = [(maglev(group), group) for group in groups if group]
         return self.tables
 
-    def pick(self, now: int, flow: Flow, pressed: bool = False) -> Server | None:
+    def pick(self, now: int, flow: Flow) -> Server | None:
         """The key's slot, then where its group stands from here, then the first slot after it whose server
         need not be passed over; nearest pool first."""
         last = None
@@ -542,7 +544,7 @@
             for place, server in enumerate(chain([home], stands, self.walk(table, flow.key)), -len(stands)):
                 if flow.grouped and place > CHOICES and (spare or last):
                     break
-                if self.in_scope(flow, server) and self.admits(now, server, flow, server is home, pressed):
+                if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
                     if server not in flow.tried and self.sound(now, server, flow, server is home):
                         load = self.load(server, flow) / server.weight
                         if (load * server.weight <= PASS_OVER_FLOOR
@@ -600,7 +602,7 @@
                  if s.misses < MISSES and now >= s.full_until and not self.strained(now, s)]
         return sum(map(self.load, sound)) / sum(s.weight for s in sound) if sound else 0.0
 
-    def admits(self, now: int, server: Server, flow: Flow, home: bool, pressed: bool) -> bool:
+    def admits(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Whether the server may be sent a flow at all, however bad the others look."""
         if now < server.full_until or len(server.out) >= IN_FLIGHT:
             return False
@@ -611,10 +613,8 @@
         if flow.grouped and not home and flow.key not in server.groups:
             if self.load(server, flow) > COPY_ROOM * self.limit(now, server):
                 return False
-        # A cold server takes flows whose slot it is; what others yield only if none else would, rather than
-        # have it rejected, since the budget counts all flows. In flight: one more than answered.
-        return (not self.cold(now, server)
-                or (home or pressed) and server in flow.admitted and len(server.out) <= server.answers)
+        # Of a cold server's flows a part. In flight: one more than it has answered.
+        return not self.cold(now, server) or server in flow.admitted and len(server.out) <= server.answers
 
     def sound(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Guards against a server that passes probes and serves none, and slow ones' full share. Of its keys
@@ -630,23 +630,24 @@
         return server.since > 0 and now - server.since < self.settings.cold
 
     def deal(self, now: int, flow: Flow) -> None:
-        """Guards cold servers against the sum of all balancers. Each flow that comes may go to a cold server
-        by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
-        though all balancers see as many flows at once as this one does. A key that makes up more of the flows
-        here than the server of the fleet is let in that much less."""
+        """Guards cold servers against the sum of all balancers. A cold server is let have a part of the flows
+        that the table brings it, the same part at all balancers: so the sum holds whatever their number, and
+        one that sees a flow in ten seconds need not save up for it. Measured against what stands here: all of
+        it may come back at once, but what comes again and again in a jam is more than servers ever carried. A
+        key that makes up more of the flows here than the server of the fleet is let in that much less; one
+        flow of it says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
+        self.lately.add(now, 1)
         if not cold:
             return
         s = self.settings
-        seen = 1 - math.exp((self.started - now) / self.carried.tau)
-        usual = self.carried.read(now) / max(seen, 0.05) * s.fall_window / self.carried.tau
+        standing = sum(map(len, (server.flows for server in self.servers.values())))
+        usual = min((standing + 1) / self.lately.read(now), 1.0)
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
-        keys = self.keys[flow.key] / len(self.flows) if flow.grouped else 0.0
+        keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
         for server in cold:
             warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
-            left = COLD_CAUTION * s.overload_factor * warmed * usual - server.dealt.read(now)
-            part = min(max(left, 0.0), 1.0)
-            server.dealt.add(now, part)
+            part = COLD_CAUTION * s.overload_factor * warmed * usual
             share = server.weight / max(fleet, server.weight)
             if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
                 flow.admitted.append(server)
@@ -718,7 +719,7 @@
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
-COLD_CAUTION = 1.0            # of the reckoned budget: what servers carry is less than they could
+COLD_CAUTION = 0.5            # of the stated multiple: who comes by another's slot adds to its own share
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
