--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -638,9 +638,8 @@
     def deal(self, now: int, flow: Flow) -> None:
         """Guards cold servers against the sum of all balancers. A cold server is let have a part of the flows
         that the table brings it, the same part at all balancers: so the sum holds whatever their number, and
-        one that sees a flow in ten seconds need not save up for it. Measured against what stands here: all of
-        it may come back at once, but what comes again and again in a jam is more than servers ever carried. A
-        key that makes up more of the flows here than the server of the fleet is let in that much less; one
+        one that sees a flow in ten seconds need not save up for it. Measured against what stands here: where
+        more than half of it comes back at once, or the same again and again in a jam, the part shrinks. A key that makes up more of the flows here than the server of the fleet is let in that much less; one
         flow of it says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         self.lately.add(now, 1)
@@ -648,7 +647,7 @@
             return
         s = self.settings
         standing = sum(map(len, (server.flows for server in self.servers.values())))
-        usual = min((standing + 1) / self.lately.read(now), 1.0)
+        usual = min((standing + 1) / 2 / self.lately.read(now), 1.0)
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
         for server in cold:
@@ -725,7 +724,7 @@
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
-COLD_CAUTION = 0.5            # of the stated multiple: who comes by another's slot adds to its own share
+COLD_CAUTION = 1.0            # of the stated multiple: a server's share of the flows is less than it could carry
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
