--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -104,8 +104,6 @@
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
-        # Twice the window of the cold budget: long enough that a window's worth shows whole.
-        self.lately = Decaying(max(2 * settings.fall_window, 1), now)
         # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         self.keys: Counter[int] = Counter()
@@ -636,23 +634,25 @@
         return server.since > 0 and now - server.since < self.settings.cold
 
     def deal(self, now: int, flow: Flow) -> None:
-        """Guards cold servers against the sum of all balancers. A cold server is let have a part of the flows
-        that the table brings it, the same part at all balancers: so the sum holds whatever their number, and
-        one that sees a flow in ten seconds need not save up for it. Measured against what stands here: where
-        more than half of it comes back at once, or the same again and again in a jam, the part shrinks. A key that makes up more of the flows here than the server of the fleet is let in that much less; one
-        flow of it says nothing."""
+        """Guards cold servers against the sum of all balancers. Each flow that comes may go to a cold server
+        by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
+        though all balancers see as many flows at once as this one does. The part is what ends well here in a
+        window, a flow at least: with a few flows at each of many balancers that says nothing yet, and servers
+        that had joined stood empty. A key that makes up more of the flows here than the server of the fleet is
+        let in that much less; one flow of it says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
-        self.lately.add(now, 1)
         if not cold:
             return
         s = self.settings
-        standing = sum(map(len, (server.flows for server in self.servers.values())))
-        usual = min((standing + 1) / 2 / self.lately.read(now), 1.0)
+        seen = 1 - math.exp((self.started - now) / self.carried.tau)
+        usual = self.carried.read(now) / max(seen, 0.05) * s.fall_window / self.carried.tau
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
         for server in cold:
             warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
-            part = COLD_CAUTION * s.overload_factor * warmed * usual
+            left = s.overload_factor * warmed * max(usual, LEAST_USUAL) - server.dealt.read(now)
+            part = min(max(left, 0.0), 1.0)
+            server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
             if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
                 flow.admitted.append(server)
@@ -724,7 +724,7 @@
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
-COLD_CAUTION = 1.0            # of the stated multiple: a server's share of the flows is less than it could carry
+LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt, and is no mass return
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -129,6 +129,35 @@
     assert ledger.answers[flow.id] == "abort"
 
 
+def test_all_balancers_at_once_keep_a_cold_servers_budget():
+    instances, window, factor, share, warm = 3, 2, 3.0, 0.2, 20
+    ledgers = [Ledger(1, instances=instances) for me in range(instances)]
+    for ledger in ledgers:
+        settle(ledger)
+        for _ in range(120):      # one flow ends well every half second: 2 a second at each, 6 in all
+            fill(ledger, 1)
+            ledger.pass_time(SECOND // 2)
+            ledger.end(next(iter(ledger.balancer.servers[7].flows)), Outcome.OK)
+    now = ledgers[0].now
+    for ledger in ledgers:
+        ledger.list(ListForm.DELTA, [Server(id=99, since=now)])
+        ledger.answer_probe(ledger.balancer.servers[99], True)
+    for _ in range(100):
+        for ledger in ledgers:
+            for _ in range(3):
+                flow = ledger.arrive()
+                if flow.id in ledger.open:
+                    ledger.accept(flow)
+            ledger.pass_time(SECOND // 10)
+    sent = sorted(at for ledger in ledgers for at, server in ledger.connects if server.id == 99)
+    assert len(sent) > 5
+    for first in sent:
+        age = (first - now) / SECOND
+        capacity = 6 * min(1.0, share + (1 - share) * age / warm)
+        # Dealt by chance: the bench's count, too, leaves a little for that.
+        assert sum(first <= at < first + window * SECOND for at in sent) <= 1.25 * factor * capacity * window + 1
+
+
 def cold_fleet(instances, servers, standing):
     """As many balancers as one would be, each with a few flows, when one server more starts cold."""
     ledgers = [Ledger(servers, instances=instances, cold_share=0.2) for _ in range(instances)]
