Being over the mean alone sends nobody to a cold server

Cause: the test of the cold budget, put back, counted 15 connects in a window where 10 are allowed: a server over the mean yielded to a cold one, so that drew the flows of two slots from one budget (pick). Now only what no sound server takes passes on.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -548,6 +548,9 @@
             for place, server in enumerate(chain([home], stands, self.walk(table, flow.key)), -len(stands)):
                 if flow.grouped and place > CHOICES and (spare or last):
                     break
+                # Being over the mean alone sends nobody to a cold server: its budget is for its own share.
+                if spare and self.cold(now, server):
+                    continue
                 if self.in_scope(flow, server) and self.admits(now, server, flow, server is home):
                     if server not in flow.tried and self.sound(now, server, flow, server is home):
                         load = self.load(server, flow) / server.weight
