--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -214,8 +214,8 @@
 
     def cut(self, now: int, server: Server) -> None:
         """One step down from what was too much. Guards against the jam in which a full server's pile makes
-        all messages late, and what it drops comes straight back, is set up at a price, is dropped again. With a
-        flow or two here each step is a part of a flow, so it goes down from the limit, not from what stands;
+        all messages late, and what it drops comes straight back, is set up at a price, is dropped again. With
+        a flow or two here each step is a part of a flow, so it goes down from the limit, not from what stands;
         while the delay falls the last step is at work, and as deep a one again would empty the server."""
         if now - server.cut_at < CUT_EVERY:
             return
@@ -641,8 +641,8 @@
         by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
         though all balancers see as many flows at once as this one does. The part is what ends well here in a
         window, a flow at least: with a few flows at each of many balancers that says nothing yet, and servers
-        that had joined stood empty. A key that makes up more of the flows here than the server of the fleet is
-        let in that much less; one flow of it says nothing."""
+        that had joined stood empty. A key that makes up more of the flows here than the server of the fleet
+        is let in that much less; one flow of it says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         if not cold:
             return
@@ -727,7 +727,7 @@
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
-LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt, and is no mass return
+LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
