--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -215,7 +215,7 @@
     def cut(self, now: int, server: Server) -> None:
         """One step down from what was too much. Guards against the jam in which a full server's pile makes
         all messages late, and what it drops comes straight back, is set up at a price, is dropped again. With
-        a flow or two here each step is a part of a flow, so it goes down from the limit, not from what stands;
+        a flow or two here a step is a part of a flow, so it goes down from the limit, not from what stands;
         while the delay falls the last step is at work, and as deep a one again would empty the server."""
         if now - server.cut_at < CUT_EVERY:
             return
