--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -153,6 +153,25 @@
         server.answers, server.misses, server.errors, server.failed, server.strain = 0, 0, 0, 0, 0.0
         server.full_until, server.limit = 0, math.inf
 
+    def taken_out(self, now: int, server: Server) -> None:
+        """By hand, until put back, whatever lists say. Twice is once."""
+        if not server.barred:
+            server.barred, server.barred_at, server.owed = True, now, False
+            self.stale = True
+            self.doubt(now, server)
+
+    def put_back(self, now: int, server: Server) -> None:
+        """As a server that has just started, whatever it was before; its start time tells whether it is cold."""
+        if server.barred:
+            server.barred, server.owed, self.stale = False, True, True
+            self.restart(now, server)
+            self.next_look = now
+
+    def avoided(self, now: int, server: Server) -> bool:
+        """Whether new flows pass it over now, by hand, by the list's word or by this module's own judgement."""
+        placed = any(server in group for _, group in self.pools())
+        return not placed or now < server.full_until or max(server.misses, server.errors) >= MISSES
+
     def arrived(self, now: int, flow: Flow) -> None:
         self.hold(now, flow)
         if not flow.again:
@@ -174,6 +193,7 @@
         self.freed = True
         server.answers += 1
         server.misses = server.errors = 0
+        server.owed = False
         if flow.last is Outcome.ERROR:
             # Told by a flow that another server took: guards against odd flows speaking against all servers.
             # What stands there may be served well: only new flows pass it over.
@@ -516,7 +536,7 @@
     # Where to.
 
     def up(self, server: Server) -> bool:
-        if server.state is not State.READY or server.fresh:
+        if server.state is not State.READY or server.fresh or server.barred:
             return False
         return server.health >= RISE or not server.known
 
@@ -525,7 +545,7 @@
         listed ones serve: probes that all time out must never empty the table."""
         if self.stale:
             self.stale = False
-            ready = [s for s in self.servers.values() if s.state is State.READY]
+            ready = [s for s in self.servers.values() if s.state is State.READY and not s.barred]
             up = [s for s in ready if self.up(s)] or ready
             # Lists come in parts and mostly repeat what is known: a table is built when it would differ.
             members = [(s.id, s.zone, s.weight) for s in up]
@@ -542,7 +562,14 @@
         """The key's slot, then where its group stands from here, then the first slot after it whose server
         need not be passed over; nearest pool first."""
         last = None
-        for table, servers in self.pools():
+        pools = self.pools()
+        # Guards against a server that was put back by hand and stays empty: of a cold one's small part of the flows few
+        # are of its own keys.
+        for server in (s for _, servers in pools for s in servers if s.owed):
+            if (server not in flow.tried and self.in_scope(flow, server) and self.admits(now, server, flow, True)
+                    and self.sound(now, server, flow, True)):
+                return server
+        for table, servers in pools:
             home, spare = table[mix(flow.key) % TABLE_SIZE], None
             stands = [s for s in servers if flow.key in s.groups] if flow.grouped else []
             for place, server in enumerate(chain([home], stands, self.walk(table, flow.key)), -len(stands)):
@@ -657,7 +684,9 @@
             part = min(max(left, 0.0), 1.0)
             server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
-            if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
+            # One put back by hand is owed its first flow, and one flow a window is anyone's to send it.
+            first = server.owed and not server.answers and not server.out
+            if first or (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
                 flow.admitted.append(server)
 
     # Moving established flows.
@@ -672,6 +701,9 @@
                 server.next_move = now + SECOND
                 return None
             flow, pause = self.release(server), int(LOST_SPREAD / len(server.flows))
+        elif server.barred and any(self.up(s) for s in self.servers.values()):
+            left = max(server.barred_at + OUT_WITHIN - now, 0)
+            flow, pause = self.release(server), max(left // len(server.flows), SHED_EVERY)
         elif self.load(server) > self.limit(now, server):
             flow, pause = self.release(server), SHED_EVERY
             load = self.load(server)
@@ -741,5 +773,6 @@
 TELL_POINTS = 0.05            # what one word of a server's strain may cost, told a flow: one or two tellers
 TELL_EVERY = 2 * SECOND       # within STRAIN_HOLD, or the others would come back before the next word
 SHED = 1.0                    # messages miss their target from here on
+OUT_WITHIN = 2 * SECOND        # flows leave a server taken out by hand in that: it is about to be restarted
 LOST_SPREAD = 2 * SECOND      # a lost server's flows come back over this time (as the logarithm), not at once
 SHED_EVERY = SECOND // 20     # what is over a limit goes within a second or two, not in one burst of set-ups
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -108,6 +108,9 @@
     strain: float = 0.0             # as last told: 1 is a message at its target, or all capacity asked
     strain_at: int = 0
     full_until: int = 0
+    barred: bool = False            # taken out by hand, whatever the list says
+    barred_at: int = 0
+    owed: bool = False              # put back by hand: the next flow that may go there does
     limit: float = float("inf")     # connections it held without dropping any, once it has dropped some
     cut_at: int = 0
     cut_delay: int = 0              # of a message there when that was cut
--- /dev/null
+++ b/cypresswalk/net/calls.py
@@ -0,0 +1,68 @@
+"""Operators' calls: one line in, one call or one refusal out. Knows no socket."""
+
+from dataclasses import dataclass, field
+from queue import Empty, SimpleQueue
+from threading import Lock
+
+from cypresswalk.model import SECOND
+from cypresswalk.net.lines import NAME, Lines, ProtocolError
+
+PLAIN = frozenset((b"check", b"vars", b"drain-on", b"drain-off"))
+WITH_ID = frozenset((b"set-down", b"set-up"))
+
+
+@dataclass(slots=True)
+class Call:
+    """Answered once: by the deciding thread, or by the caller's own thread that has waited enough; then it has no effect."""
+    name: str
+    server: str = ""                    # the id as the list has it, where the call names one
+    begun: Lock = field(default_factory=Lock)           # taken for good by the side that decides about it
+    answers: SimpleQueue = field(default_factory=SimpleQueue)
+
+    def begin(self) -> bool:
+        """Whether it may take effect still. The deciding thread asks before it acts."""
+        return self.begun.acquire(blocking=False)
+
+    def wait(self, span: int) -> bytes | None:
+        """The answer, or None if the call was not begun within `span` nanoseconds and now never will be."""
+        try:
+            return self.answers.get(timeout=span / SECOND)
+        except Empty:
+            if self.begin():
+                return None
+        try:
+            return self.answers.get(timeout=span / SECOND)
+        except Empty:
+            return b"ERR a fault; see the log\r\n"
+
+
+class Caller:
+    """Is fed what one caller says. Raises ProtocolError with a reason for the caller where that is no call."""
+
+    def __init__(self, longest: int):
+        self.lines = Lines(longest)
+
+    def feed(self, data: bytes) -> Call | None:
+        """The call once its line is whole. What came with it after its end is no part of it, so the whole is refused:
+        guards against half of what was meant being done."""
+        self.lines.feed(data)
+        line = self.lines.line()
+        if line is None:
+            return None
+        if len(self.lines.buffer):
+            raise ProtocolError("one line to a connection")
+        words = line.split()
+        if not words:
+            raise ProtocolError("no call")
+        if words[0] in PLAIN:
+            if len(words) > 1:
+                raise ProtocolError(f"{words[0].decode()} stands alone")
+            return Call(words[0].decode())
+        if words[0] in WITH_ID:
+            if len(words) != 2:
+                raise ProtocolError(f"{words[0].decode()} takes one id")
+            ident = words[1].decode("ascii", "replace")
+            if not NAME.fullmatch(ident):
+                raise ProtocolError("that is no id of a server")
+            return Call(words[0].decode(), ident)
+        raise ProtocolError("no such call; there are check, vars, set-down ID, set-up ID, drain-on and drain-off")
--- a/cypresswalk/net/config.py
+++ b/cypresswalk/net/config.py
@@ -34,6 +34,7 @@
     load_fields: list[str]              # of the load reports that probes bring, if any
     peer_listen: Address | None
     peers_all: Address | None
+    admin: Address | None               # where operators call; without it all that they may ask for is off
 
 
 def address(text: str, what: str) -> Address:
@@ -82,12 +83,14 @@
     params = data["settings"]
     settings = decode_settings(params)
     targets = [t.message_target for t in settings.service_types if t.message_target]
+    admin = environment.get("PROXY_ADMIN_ADDR") or data.get("admin_addr")
+    admin = address(admin, "admin_addr") if admin else None
     limits = Limits(
         sockets=int(data["limits"]["sockets"]), memory=int(data["limits"]["memory_mb"]) << 20,
         dial=nanoseconds(params["limits"]["dialTimeout"], "dialTimeout"),
         longest=max((nanoseconds(t["giveUp"], "giveUp") for t in params["serviceTypes"]), default=SECOND),
         # A third of the shortest target is no strain yet.
-        delay_long=min(targets, default=SECOND) // 3)
+        delay_long=min(targets, default=SECOND) // 3, operated=admin is not None)
     extra = params.get("extra", {})
     peers = settings.peers and data.get("peer_listen")
     return Config(
@@ -104,4 +107,5 @@
         tells_load=bool(extra.get("tellsLoad")), tells_delay=bool(extra.get("tellsDelay")),
         load_fields=params["stats"]["fields"] if settings.load_index >= 0 else [],
         peer_listen=address(data["peer_listen"], "peer_listen") if peers else None,
-        peers_all=address(data["peers_all"], "peers_all") if peers and data.get("peers_all") else None)
+        peers_all=address(data["peers_all"], "peers_all") if peers and data.get("peers_all") else None,
+        admin=admin)
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -5,14 +5,17 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from heapq import heappop, heappush
+from enum import Enum
 from typing import Protocol
 
 from cypresswalk.choice import Balancer
 from cypresswalk.hosting import current, nanoseconds, pack_hint, unpack_hint
 from cypresswalk.model import (SECOND, Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Server,
                                State, Subscribe, Tell, Wake)
+from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config
 from cypresswalk.net.counters import Counters
+from cypresswalk.net.figures import Figures
 from cypresswalk.net.limits import MILLISECOND
 from cypresswalk.net.lines import Opening
 from cypresswalk.net.logs import event
@@ -24,6 +27,13 @@
 log = logging.getLogger(__name__)
 
 
+class Phase(Enum):
+    """Of this process. From one to the next by an operator's call or a signal, never by itself."""
+    SERVING = "serving"
+    DRAINED = "drained"     # by hand: says no to PING, sends its clients away, and may be called back
+    LEAVING = "leaving"     # a planned stop: goes on answering until it ends
+
+
 class Session:
     """A client's connection, from its first line to its end."""
     __slots__ = ("opening", "flow", "leg", "standing", "over", "link")
@@ -81,6 +91,7 @@
     def connect(self, leg: Leg, address: Address, line: bytes) -> None: ...
     def join(self, leg: Leg) -> None: ...
     def drop(self, leg: Leg) -> None: ...
+    def recall(self, leg: Leg) -> bool: ...
     def answer(self, session: Session, line: bytes) -> None: ...
     def close(self, session: Session) -> None: ...
     def move(self, session: Session) -> None: ...
@@ -104,8 +115,11 @@
         self.seen: OrderedDict[int, None] = OrderedDict()       # the latest ids, the oldest first
         self.timers: list[tuple[int, int, Callable, tuple]] = []
         self.entered = 0
+        self.phase = Phase.SERVING
         self.ready = False              # flows can be placed
-        self.stop_at: int | None = None
+        self.close_at: int | None = None        # no flow is answered later: this process is drained or leaves
+        self.departures = 0             # rounds of moving all clients; a new one, or a call back, ends the one before
+        self.figures = Figures(self.service_types)
         self.stopped = False
         self.hear(now)
 
@@ -128,8 +142,8 @@
         self.seen[ident] = None
         if len(self.seen) > self.limits.ids:
             self.seen.popitem(last=False)
-        if self.stop_at is not None:
-            until = min(until, self.stop_at)
+        if self.close_at is not None:
+            until = min(until, self.close_at)
         flow = Flow(ident, settings.service_types[kind], key, until, customer, grouped=bool(group),
                     again=values.get("r") == "1" or values.get("again") == "1")
         session.opening, session.flow = opening, flow
@@ -161,7 +175,7 @@
         if session.over or session.leg is not None:
             return
         server = self.balancer.servers.get(server_number(session.opening.values["at"]))
-        if server is None or server.state is State.GONE:
+        if server is None or server.state is State.GONE or server.barred:
             self.at(now + self.limits.resume_retry, self.resume, session)
             return
         self.connect(now, session, server, 0, now + self.limits.resume)
@@ -193,6 +207,7 @@
             self.balancer.established(now, flow, now - leg.sent)
         session.standing = True
         self.counters.add("flows_established")
+        self.figures.ended("fulfilled", session.opening.values["c"])
         self.drivers.join(leg)
 
     def ended(self, now: int, leg: Leg, outcome: Outcome) -> None:
@@ -250,8 +265,10 @@
             self.withheld.pop(server.id, None)
             self.addresses[server.id] = address
         self.balancer.listed(now, form, [server for server, _ in entries])
-        some = any(server.state is State.READY for server in self.balancer.servers.values())
-        self.ready = some and self.stop_at is None
+        self.settle()
+
+    def settle(self) -> None:
+        self.ready = self.phase is Phase.SERVING and self.placeable() > 0
 
     def withhold(self, now: int, server: Server, address: Address) -> bool:
         """Whether an older list brings back, without a start since, a server that drains or is gone: that waits until the
@@ -359,6 +376,8 @@
 
     def end(self, now: int, session: Session, line: bytes) -> None:
         session.over = True
+        if session.flow is not None:
+            self.figures.ended("faulted" if line == FAILED else "throttled", session.opening.values["c"])
         self.drivers.answer(session, line)
         self.at(now + self.limits.linger, self.close, session)
 
@@ -372,36 +391,95 @@
         self.drivers.move(session)
         self.balancer.ended(now, flow, Outcome.CANCELLED, True, now - session.leg.sent)
 
-    # A planned stop.
+    # Clients sent away: a planned stop, or a drain by hand.
 
     def stop(self, now: int) -> None:
         """Goes on taking and answering flows while those that stand are moved evenly; then all is over well
         before the kill."""
-        if self.stop_at is not None:
+        if self.phase is Phase.LEAVING:
             return
         span = min(self.limits.longest, self.limits.leave_most) + self.limits.leave_more
-        self.stop_at, self.ready = now + span, False
+        # A client moved at once would come straight back: some still come here for a while. And in a round of restarts
+        # the balancer before this one is often away still, with nobody to go to.
+        self.depart(now, Phase.LEAVING, max(span // 2, self.limits.leave_first), span)
+
+    def depart(self, now: int, phase: Phase, begin: int, span: int) -> None:
+        self.phase, self.close_at = phase, now + span
+        self.departures += 1
+        self.settle()
         standing = sum(session.standing for session in self.sessions.values())
-        log.info(event("stop", standing=standing, seconds=span / SECOND))
+        log.info(event("stop" if phase is Phase.LEAVING else "drain", standing=standing, seconds=span / SECOND))
         for flow, session in self.sessions.items():
-            if not session.standing and flow.until > self.stop_at:
-                flow.until = self.stop_at
+            if not session.standing and flow.until > self.close_at:
+                flow.until = self.close_at
                 if session.leg is not None:
                     self.at(flow.until, self.connect_late, session.leg)
-        # A client moved at once would come straight back: some still come here for a while. And in a round of restarts
-        # the balancer before this one is often away still, with nobody to go to.
-        self.at(now + max(span // 2, self.limits.leave_first), self.leave)
+        self.at(now + begin, self.leave, self.departures)
 
-    def leave(self, now: int) -> None:
+    def leave(self, now: int, departure: int) -> None:
+        if departure != self.departures:
+            return
         standing = [flow for flow, session in self.sessions.items() if session.standing]
-        if now >= self.stop_at:
+        if now >= self.close_at:
             for flow in standing:
                 self.move(now, flow)
-            if not self.sessions:
+            if not self.sessions and self.phase is Phase.LEAVING:
                 self.stopped = True
-            self.at(now + self.limits.leave_tick, self.leave)
+            self.at(now + self.limits.leave_tick, self.leave, departure)
         elif standing:
             self.move(now, standing[0])
-            self.at(now + (self.stop_at - now) // len(standing), self.leave)
+            self.at(now + (self.close_at - now) // len(standing), self.leave, departure)
         else:
-            self.at(min(now + self.limits.leave_tick, self.stop_at), self.leave)
+            self.at(min(now + self.limits.leave_tick, self.close_at), self.leave, departure)
+
+    # What operators ask.
+
+    def called(self, now: int, call: Call) -> None:
+        """A yes is a promise: it is said once this has acted, and a call given up by its caller is not begun."""
+        if not call.begin():
+            return
+        self.counters.add("calls_" + call.name.replace("-", "_"))
+        if call.name == "vars":
+            call.answers.put(self.figures.text(now, self))
+            return
+        why = self.obey(now, call)
+        if call.name != "check":
+            log.info(event("call", call=call.name, server=call.server, refused=why or "no"))
+        call.answers.put(b"ERR " + why.encode() + b"\r\n" if why else b"OK\r\n")
+
+    def obey(self, now: int, call: Call) -> str | None:
+        """Why not, if not."""
+        match call.name:
+            case "check":
+                return None if self.ready else f"{self.phase.value}, {self.placeable()} servers to place flows on"
+            case "drain-on" | "drain-off" if self.phase is Phase.LEAVING:
+                return "this process is leaving"
+            case "drain-on":
+                if self.phase is Phase.SERVING:
+                    self.depart(now, Phase.DRAINED, self.limits.drain_first, self.limits.drain_span)
+            case "drain-off":
+                self.phase, self.close_at = Phase.SERVING, None
+                self.departures += 1
+                self.settle()
+            case "set-down" | "set-up":
+                server = self.balancer.servers.get(server_number(call.server))
+                if server is None:
+                    return "no list has named that server"
+                self.bar(now, server) if call.name == "set-down" else self.unbar(now, server)
+        return None
+
+    def placeable(self) -> int:
+        return sum(s.state is State.READY and not s.barred for s in self.balancer.servers.values())
+
+    def bar(self, now: int, server: Server) -> None:
+        self.balancer.taken_out(now, server)
+        self.settle()
+        # Guards against a first line that goes out after the yes, since a dial takes its time.
+        for session in list(self.sessions.values()):
+            leg = session.leg
+            if leg is not None and leg.server is server and not session.standing and self.drivers.recall(leg):
+                self.ended(now, leg, Outcome.MOOT)
+
+    def unbar(self, now: int, server: Server) -> None:
+        self.balancer.put_back(now, server)
+        self.settle()
--- a/cypresswalk/net/inbox.py
+++ b/cypresswalk/net/inbox.py
@@ -18,11 +18,21 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.queue: SimpleQueue = SimpleQueue()
+        self.calls: SimpleQueue = SimpleQueue()     # what operators ask, ahead of all that waits
 
     def post(self, call: Callable, *words: object) -> None:
         """The call is made with the time of this moment, by the deciding thread."""
         self.queue.put((self.clock(), call, words))
 
+    def first(self, call: Callable, *words: object) -> None:
+        """Before all that waits. Guards against an operator's call behind a crowd's events: a caller waits a second."""
+        self.calls.put((call, words))
+        self.post(nothing)      # whoever waits on the other queue wakes up
+
+
+def nothing(now: int) -> None:
+    pass
+
 
 starting = threading.Lock()     # the stack size is the interpreter's, not the call's
 
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -53,6 +53,12 @@
     leave_more: int = 3 * SECOND // 10     # and so much longer: new clients still come; the kill is 0.7 s after
     leave_end: int = SECOND // 4    # what was said last is read by then
     leave_tick: int = SECOND // 50
+    drain_first: int = SECOND // 2  # the front asks each 0.1 s, and goes on sending clients for 0.2 s after the first no
+    drain_span: int = 3 * SECOND    # after the call; a client that is still held one second later is lost
+    operated: bool = False          # operators can call: descriptors are kept for them
+    calls: int = 16                 # operators' callers at a time
+    call_line: int = 2 * SECOND     # a caller whose line is not whole by then is sent away
+    call: int = 8 * SECOND // 10    # a caller waits a second
 
     @property
     def spare(self) -> int:
@@ -68,7 +74,7 @@
     @property
     def at_door(self) -> int:
         """Clients that have not said their line yet, or are told no."""
-        return self.spare // 2
+        return max(self.spare - self.calls * self.operated, 2) // 2
 
     @property
     def kept_probes(self) -> int:
--- a/cypresswalk/net/program.py
+++ b/cypresswalk/net/program.py
@@ -55,6 +55,11 @@
             self.peers = Peers(config.peer_listen, config.peers_all, self.core, self.inbox, self.limits)
         self.listener = Listener(config.listen, self.core, self.inbox, self.limits)
         self.keeper = None
+        self.admin = None
+        if config.admin is not None:
+            # Imported here alone: the platform's earlier days have no operators who call.
+            from cypresswalk.net.admin import Admin
+            self.admin = Admin(config.admin, self.core, self.inbox, self.limits)
 
     def keep_state(self, folder: str, every: float, config: Config) -> None:
         """Imported here alone: the platform's balancer has no folder that outlasts it, and no memory for this."""
@@ -71,9 +76,11 @@
         start_thread(self.watch.run, pause, self.limits.list_stack)
         if self.peers is not None:
             start_thread(self.peers.run, pause)
+        if self.admin is not None:
+            start_thread(self.admin.run, pause)
         if self.keeper is not None:
             self.keeper.start()
-        queue, core, last = self.inbox.queue, self.core, self.clock()
+        queue, calls, core, last = self.inbox.queue, self.inbox.calls, self.core, self.clock()
         while not core.stopped:
             due = core.next_due()
             wait = SECOND if due is None else due - self.clock()
@@ -84,6 +91,10 @@
                     at, call, words = item
                     # Threads stamp what they read: two stamps can come in the wrong order.
                     last = max(last, at)
+                    while not calls.empty():
+                        asked, about = calls.get_nowait()
+                        last = max(last, self.clock())
+                        self.guarded(asked, last, *about)
                     self.guarded(call, last, *words)
                     if left:
                         item = queue.get_nowait()
@@ -144,6 +155,9 @@
     def drop(self, leg: Leg) -> None:
         leg.link.drop()
 
+    def recall(self, leg: Leg) -> bool:
+        return leg.link.recall()
+
     def answer(self, session: Session, line: bytes) -> None:
         session.link.link.send_now(line)
         session.link.link.shut(socket.SHUT_WR)
--- a/cypresswalk/net/servers.py
+++ b/cypresswalk/net/servers.py
@@ -25,7 +25,7 @@
         self.lines = Lines(limits.line)
         self.link: Link | None = None
         self.sending = Lock()           # the first line goes out whole, or the connect was dropped before
-        self.dropped = self.moved = False
+        self.dropped = self.moved = self.sent = False
         self.verdict = Lock()           # held until the core has said whether UP is passed on
         self.verdict.acquire()
 
@@ -73,11 +73,13 @@
         with self.sending:
             if self.dropped:
                 return False
+            self.sent = True
             try:
                 self.link.sock.sendall(self.opening)
             except OSError:
                 self.end(Outcome.CONNECT_FAILED)
                 return False
+        self.core.counters.add("connects_written")
         return True
 
     def first_line(self) -> bytes | None:
@@ -167,6 +169,15 @@
             self.link.shut(socket.SHUT_RDWR)
         self.verdict.release()
 
+    def recall(self) -> bool:
+        """Whether nothing was sent, and now never will be."""
+        with self.sending:
+            if self.sent or self.dropped:
+                return False
+            self.dropped = True
+        self.verdict.release()
+        return True
+
     def move(self) -> None:
         """Its thread reads what has come already, then an end, and then says MOVE."""
         self.moved = True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 
 from cypresswalk.model import SECOND, Outcome, State
 from cypresswalk.net.buffer import Buffer
+from cypresswalk.net.calls import Call
 from cypresswalk.net.config import ConfigError, build, load
 from cypresswalk.net.core import Core, Gauge, Session
 from cypresswalk.net.counters import Counters
@@ -212,11 +213,13 @@
     def __init__(self):
         self.out, self.passing, self.answers, self.moved = {}, {}, {}, set()
         self.legs, self.probes, self.hints, self.asked = [], [], [], 0
+        self.in_dial = set()            # nothing was written on these yet
 
     def connect(self, leg, address, line):
         session = leg.session
         assert session not in self.answers and session not in self.out, "a connect too many"
         assert leg.server.state is State.READY or "at" in session.opening.values, "a connect to a server that drains"
+        assert not leg.server.barred, "a connect to a server out by hand"
         self.out[session], self.line = leg, line
         self.legs.append(leg)
 
@@ -229,6 +232,9 @@
         if self.out.get(leg.session) is leg:
             del self.out[leg.session]
 
+    def recall(self, leg):
+        return leg in self.in_dial and self.out.pop(leg.session, None) is leg
+
     def answer(self, session, line):
         assert session not in self.answers, "answered twice"
         assert session not in self.out, "answered with a connect out"
@@ -502,6 +508,14 @@
             answered = session in self.bench.sockets.answers or session in self.left
             assert answered or self.bench.now < due, "no answer in time"
 
+    @rule(name=st.sampled_from(["check", "vars", "set-down", "set-up", "drain-on", "drain-off"]), server=st.integers(0, 4))
+    def call(self, name, server):
+        self.bench.sockets.in_dial = set(list(self.bench.sockets.out.values())[::2]) - self.told_up
+        call = Call(name, f"s-{server}")
+        self.bench.tell(self.bench.core.called, call)
+        self.told_end |= set(self.bench.sockets.in_dial) - set(self.bench.sockets.out.values())
+        assert not call.answers.empty(), "a caller without an answer"
+
     @rule()
     def stop(self):
         if self.count > 30:
