Upgrade under load: the old process hands its socket and all it knows to the new one

The elder listens on a Unix socket under $TMPDIR; the younger finds it there, is passed the clients' listening socket (and the peers'), reads a versioned state and waits; at SIGTERM the elder tells its state again and "yours", goes on accepting until "mine", and only then stops. Not taken: two listeners by SO_REUSEPORT, since closing one resets what waits in its own queue and the kernel spreads by hash over one that can't place yet; it stays the fallback where there is no folder or another version. Not taken either: telling the cases apart by a timer. An operator's call in the overlap is confirmed by the other process before its yes. Flows held by both count against one limit; what is left of cold budgets goes over whole; only the younger probes; drained and out by hand stay so. handover.py knows no socket, beside.py is the driver.

Found by tests: the state told at SIGTERM said "not drained", since the phase had changed by then (the fact is kept apart from the phase now); a PING between SIGTERM and "mine" was answered with no.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -167,6 +167,12 @@
             self.restart(now, server)
             self.next_look = now
 
+    def yield_budgets(self, now: int) -> None:
+        """Another process of this balancer takes its flows from now on, and what is left of each cold server's budget."""
+        for server in self.servers.values():
+            server.dealt.add(now, YIELDED)
+            server.owed = False
+
     def avoided(self, now: int, server: Server) -> bool:
         """Whether new flows pass it over now, by hand, by the list's word or by this module's own judgement."""
         placed = any(server in group for _, group in self.pools())
@@ -759,6 +765,7 @@
 CUT_EVERY = 1 * SECOND        # a step takes effect before the next is judged
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
+YIELDED = 1e9                 # flows: more than any budget, for longer than the process still lives
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
--- /dev/null
+++ b/cypresswalk/net/beside.py
@@ -0,0 +1,199 @@
+"""The way to another process of this balancer: a Unix socket in the folder that both share, by which sockets pass too."""
+
+import json
+import logging
+import os
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from queue import SimpleQueue
+from threading import Lock
+
+from cypresswalk.model import SECOND
+from cypresswalk.net.config import Address
+from cypresswalk.net.handover import VERSION, Side
+from cypresswalk.net.inbox import Inbox, start_thread
+from cypresswalk.net.limits import Limits
+from cypresswalk.net.lines import Lines, ProtocolError
+from cypresswalk.net.link import timeval
+from cypresswalk.net.logs import event
+from cypresswalk.net.registry import number_of
+
+log = logging.getLogger(__name__)
+PATH_MOST = 100         # bytes: a Unix socket's path may have 107
+
+
+class Channel:
+    """One connection between two processes. Whoever sends never waits: a thread of its own writes."""
+
+    def __init__(self, sock: socket.socket, inbox: Inbox, limits: Limits):
+        self.sock, self.inbox, self.limits = sock, inbox, limits
+        sock.settimeout(None)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval(limits.write))
+        self.lines, self.out = Lines(limits.list_line), SimpleQueue()
+        self.descriptors: list[int] = []
+        self.side: Side | None = None
+
+    def send(self, message: dict, descriptors: tuple[int, ...] = ()) -> None:
+        self.out.put((json.dumps(message, separators=(",", ":")).encode() + b"\n", descriptors))
+
+    def close(self) -> None:
+        """Once all has been sent."""
+        self.out.put(None)
+
+    def start(self, side: Side) -> None:
+        self.side = side
+        start_thread(self.write)
+        start_thread(self.read)
+
+    def write(self) -> None:
+        try:
+            while (item := self.out.get()) is not None:
+                data, descriptors = item
+                if descriptors:
+                    sent = socket.send_fds(self.sock, [data], descriptors)
+                    data = data[sent:]
+                self.sock.sendall(data)
+        except OSError as error:
+            log.warning(event("beside_lost", why=error))
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def message(self) -> dict | None:
+        """The next one, None at the end. Raises OSError, ProtocolError."""
+        while (line := self.lines.line()) is None:
+            data, descriptors, _, _ = socket.recv_fds(self.sock, self.limits.list_read, 4)
+            self.descriptors += descriptors
+            if not data:
+                return None
+            self.lines.feed(data)
+        try:
+            message = json.loads(line)
+        except (ValueError, RecursionError):
+            raise ProtocolError("not JSON") from None
+        if not isinstance(message, dict):
+            raise ProtocolError("no object")
+        return message
+
+    def read(self) -> None:
+        try:
+            while (message := self.message()) is not None:
+                self.inbox.first(self.side.heard, self, message)
+        except (OSError, ProtocolError) as error:
+            log.warning(event("beside_lost", why=error))
+        finally:
+            self.inbox.first(self.side.parted, self)
+            self.close()
+
+
+class Beside:
+    """Where the process that serves waits for one that is to succeed it."""
+
+    def __init__(self, folder: str | None, name: str, listen: Address, inbox: Inbox, limits: Limits):
+        self.inbox, self.limits = inbox, limits
+        self.name = f"{name} {listen[0]}:{listen[1]}"
+        self.folder, self.file = folder, f"cypresswalk-{number_of(self.name):x}"
+        self.sock: socket.socket | None = None
+        self.waiting = Lock()
+
+    @contextmanager
+    def path(self, file: str) -> Iterator[str]:
+        """By a descriptor of the folder where the folder's own name is too long for a socket's path."""
+        whole = os.path.join(self.folder, file)
+        if len(whole.encode()) <= PATH_MOST:
+            yield whole
+            return
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            yield f"/proc/self/fd/{folder}/{file}"
+        finally:
+            os.close(folder)
+
+    # The younger.
+
+    def meet(self) -> Channel | None:
+        """The process that serves here, if there is one that can hand over, its welcome read. Tried for as long as another
+        stands beside it; whatever else is in the way is said, and means a plain start."""
+        if not self.folder:
+            return None
+        until = self.inbox.clock() + self.limits.bind
+        while True:
+            try:
+                sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+                sock.settimeout(self.limits.bind / SECOND)
+                with self.path(self.file) as path:
+                    sock.connect(path)
+            except (FileNotFoundError, ConnectionRefusedError):
+                sock.close()        # nobody is there, or one that was killed
+                return None
+            except OSError as error:
+                sock.close()
+                log.warning(event("handover_none", why=error))
+                return None
+            channel = Channel(sock, self.inbox, self.limits)
+            sock.settimeout(self.limits.bind / SECOND)
+            try:
+                sock.sendall(json.dumps({"hello": {"version": VERSION, "name": self.name}}).encode() + b"\n")
+                welcome = channel.message()
+                if welcome and welcome.get("welcome") == VERSION and channel.descriptors:
+                    sock.settimeout(None)
+                    return channel
+                why = (welcome or {}).get("refused", "no welcome")
+            except (OSError, ProtocolError) as error:
+                why = error
+            for descriptor in channel.descriptors:
+                os.close(descriptor)
+            sock.close()
+            if self.inbox.clock() > until or not isinstance(why, str) or "version" in why:
+                log.warning(event("handover_none", why=why))
+                return None
+            time.sleep(self.limits.list_retry / SECOND)
+
+    # The elder.
+
+    def wait(self, side: Side) -> None:
+        """From now on another process finds this one."""
+        with self.waiting:
+            if not self.folder or self.sock is not None:
+                return
+            beside = f"{self.file}.{os.getpid()}"
+            try:
+                self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+                with self.path(beside) as path:
+                    self.sock.bind(path)
+                    os.chmod(path, 0o600)       # whoever speaks here is handed the clients
+                self.sock.listen(4)
+                # In one step over what an earlier process left: there is never a moment without a name.
+                os.rename(os.path.join(self.folder, beside), os.path.join(self.folder, self.file))
+            except OSError as error:
+                log.warning(event("handover_off", why=error))
+                self.sock.close()
+                return
+        start_thread(lambda: self.run(side))
+
+    def run(self, side: Side) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as error:
+                log.warning(event("handover_accept_failed", why=error))
+                time.sleep(self.limits.accept_pause / SECOND)
+                continue
+            try:
+                self.greet(Channel(sock, self.inbox, self.limits), side)
+            except (OSError, ProtocolError, RuntimeError) as error:
+                log.warning(event("hello_odd", why=error))
+                sock.close()
+
+    def greet(self, channel: Channel, side: Side) -> None:
+        channel.sock.settimeout(self.limits.list_retry / SECOND)
+        hello = (channel.message() or {}).get("hello")
+        channel.sock.settimeout(None)
+        if not isinstance(hello, dict) or hello.get("version") != VERSION or hello.get("name") != self.name:
+            channel.sock.sendall(b'{"refused":"another version or name"}\n')
+            raise ProtocolError(f"hello: {hello!r}"[:200])
+        channel.start(side)
+        self.inbox.first(side.hello, channel)
--- a/cypresswalk/net/clients.py
+++ b/cypresswalk/net/clients.py
@@ -142,19 +142,24 @@
 
 
 class Listener:
-    def __init__(self, address: Address, core: Core, inbox: Inbox, limits: Limits):
-        self.core, self.inbox, self.limits = core, inbox, limits
+    def __init__(self, address: Address, core: Core, inbox: Inbox, limits: Limits, shared: bool = False,
+                 sock: socket.socket | None = None):
+        """`shared`: another process may accept at the same address, and `sock` may be the socket that it passed on."""
+        self.core, self.inbox, self.limits, self.shared = core, inbox, limits, shared
+        self.taking = True              # cleared where the other process accepts in this one's place
         # Clients beyond wait in the backlog. Guards against running out of descriptors in mid-flow.
         self.room = Semaphore(limits.flows + limits.at_door)
         self.clients: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}        # the oldest first
-        self.sock = self.listen(address)
+        self.sock = sock or self.listen(address)
+        if shared:
+            self.sock.settimeout(limits.accept_pause / SECOND)
 
     def listen(self, address: Address) -> socket.socket:
         until = self.inbox.clock() + self.limits.bind
         while True:
             try:
-                return socket.create_server(address, backlog=self.limits.backlog)
+                return socket.create_server(address, backlog=self.limits.backlog, reuse_port=self.shared)
             except OSError:
                 if self.inbox.clock() > until:
                     raise
@@ -172,10 +177,13 @@
                 self.core.counters.add("clients_idle")
 
     def run(self) -> None:
-        while True:
+        while self.taking:
             self.make_room()
             try:
                 sock, _ = self.sock.accept()
+            except TimeoutError:
+                self.room.release()
+                continue
             except OSError as error:
                 # Descriptors may run short all the same: others close in time.
                 self.room.release()
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -29,6 +29,7 @@
 
 class Phase(Enum):
     """Of this process. From one to the next by an operator's call or a signal, never by itself."""
+    STARTING = "starting"   # beside an older process that serves still: places nothing
     SERVING = "serving"
     DRAINED = "drained"     # by hand: says no to PING, sends its clients away, and may be called back
     LEAVING = "leaving"     # a planned stop: goes on answering until it ends
@@ -120,6 +121,8 @@
         self.close_at: int | None = None        # no flow is answered later: this process is drained or leaves
         self.departures = 0             # rounds of moving all clients; a new one, or a call back, ends the one before
         self.figures = Figures(self.service_types)
+        self.side = None                # what stands beside this process, where operators upgrade it under load
+        self.drained = False            # by hand; stays so over an upgrade
         self.stopped = False
         self.hear(now)
 
@@ -157,7 +160,8 @@
         if flow.again:
             self.counters.add("flows_again")
         # Guards against running out of descriptors: nothing was sent, so a reject does no harm.
-        if len(self.sessions) >= self.limits.flows:
+        beside = self.side.held if self.side is not None else 0
+        if len(self.sessions) + beside >= self.limits.flows:
             self.counters.add("flows_beyond_sockets")
             self.end(now, session, BUSY)
             return
@@ -268,7 +272,14 @@
         self.settle()
 
     def settle(self) -> None:
-        self.ready = self.phase is Phase.SERVING and self.placeable() > 0
+        # Of two processes at one door the elder says yes for both: guards against a front that hears a no in between.
+        beside = self.side is not None and self.side.other is not None
+        here = self.phase is Phase.SERVING or self.phase is Phase.LEAVING and beside and not self.drained
+        self.ready = here and self.placeable() > 0
+
+    def succeeded(self) -> bool:
+        """Another process takes this one's clients already, at the same door."""
+        return self.side is not None and self.side.succeeded
 
     def withhold(self, now: int, server: Server, address: Address) -> bool:
         """Whether an older list brings back, without a start since, a server that drains or is gone: that waits until the
@@ -338,6 +349,8 @@
     # What the module decides.
 
     def pull(self, now: int) -> None:
+        if self.phase is Phase.STARTING:
+            return
         while (decision := self.balancer.decide(now)) is not None:
             match decision:
                 case Connect(flow, server, timeout):
@@ -352,6 +365,8 @@
                     self.end(now, self.sessions.pop(flow), FAILED)
                 case Move(flow):
                     self.move(now, flow)
+                case Probe() if self.succeeded():
+                    pass        # the other process probes for both
                 case Probe(server):
                     self.counters.add("probes_sent")
                     self.drivers.probe(server, self.addresses[server.id])
@@ -401,7 +416,11 @@
         span = min(self.limits.longest, self.limits.leave_most) + self.limits.leave_more
         # A client moved at once would come straight back: some still come here for a while. And in a round of restarts
         # the balancer before this one is often away still, with nobody to go to.
-        self.depart(now, Phase.LEAVING, max(span // 2, self.limits.leave_first), span)
+        # One that stands beside this one is there: the longer the moves take, the less they press on anyone.
+        beside = self.side is not None and self.side.other is not None
+        self.depart(now, Phase.LEAVING, self.limits.leave_first if beside else max(span // 2, self.limits.leave_first), span)
+        if self.side is not None:
+            self.side.hand_over(now)
 
     def depart(self, now: int, phase: Phase, begin: int, span: int) -> None:
         self.phase, self.close_at = phase, now + span
@@ -419,6 +438,8 @@
     def leave(self, now: int, departure: int) -> None:
         if departure != self.departures:
             return
+        if self.side is not None:
+            self.side.tell_held()
         standing = [flow for flow, session in self.sessions.items() if session.standing]
         if now >= self.close_at:
             for flow in standing:
@@ -432,6 +453,15 @@
         else:
             self.at(min(now + self.limits.leave_tick, self.close_at), self.leave, departure)
 
+    def begin(self, now: int) -> None:
+        """The process before this one has handed over, or has gone."""
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.SERVING
+            log.info(event("taken_over", drained=self.drained))
+            if self.drained:
+                self.depart(now, Phase.DRAINED, 0, 0)
+            self.settle()
+
     # What operators ask.
 
     def called(self, now: int, call: Call) -> None:
@@ -443,28 +473,43 @@
             call.answers.put(self.figures.text(now, self))
             return
         why = self.obey(now, call)
+        if call.name == "check" or self.side is None or not self.side.forward(now, call, why):
+            self.reply(call, why)
+
+    def reply(self, call: Call, why: str | None) -> None:
         if call.name != "check":
             log.info(event("call", call=call.name, server=call.server, refused=why or "no"))
         call.answers.put(b"ERR " + why.encode() + b"\r\n" if why else b"OK\r\n")
 
-    def obey(self, now: int, call: Call) -> str | None:
-        """Why not, if not."""
+    def obey(self, now: int, call: Call, forwarded: bool = False, known: bool = False) -> str | None:
+        """Why not, if not. `forwarded`: it was called at the process beside this one, whose list names the server if it is
+        `known`; that process answers for both."""
         match call.name:
             case "check":
-                return None if self.ready else f"{self.phase.value}, {self.placeable()} servers to place flows on"
+                beside = self.phase is Phase.STARTING and self.side.informed and not self.drained
+                if (beside or self.phase is Phase.SERVING) and self.placeable():
+                    return None
+                return f"{self.phase.value}, {self.placeable()} servers to place flows on"
             case "drain-on" | "drain-off" if self.phase is Phase.LEAVING:
-                return "this process is leaving"
+                return None if forwarded or self.side is not None and self.side.other else "this process is leaving"
+            case "drain-on" | "drain-off" if self.phase is Phase.STARTING:
+                self.drained = call.name == "drain-on"
             case "drain-on":
+                self.drained = True
                 if self.phase is Phase.SERVING:
                     self.depart(now, Phase.DRAINED, self.limits.drain_first, self.limits.drain_span)
             case "drain-off":
-                self.phase, self.close_at = Phase.SERVING, None
+                self.phase, self.close_at, self.drained = Phase.SERVING, None, False
                 self.departures += 1
                 self.settle()
             case "set-down" | "set-up":
-                server = self.balancer.servers.get(server_number(call.server))
-                if server is None:
-                    return "no list has named that server"
+                number = server_number(call.server)
+                if number not in self.balancer.servers:
+                    if not known:
+                        return "no list has named that server"
+                    # The other process knows it already; until this one's list names it, it is gone and out.
+                    self.balancer.listed(now, ListForm.DELTA, [Server(id=number, state=State.GONE)])
+                server = self.balancer.servers[number]
                 self.bar(now, server) if call.name == "set-down" else self.unbar(now, server)
         return None
 
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -56,9 +56,11 @@
     drain_first: int = SECOND // 2  # the front asks each 0.1 s, and goes on sending clients for 0.2 s after the first no
     drain_span: int = 3 * SECOND    # after the call; a client that is still held one second later is lost
     operated: bool = False          # operators can call: descriptors are kept for them
-    calls: int = 16                 # operators' callers at a time
+    calls: int = 8                  # operators' callers at a time
+    beside: int = 24                # descriptors of a process that stands beside this one for an upgrade, but for its flows
     call_line: int = 2 * SECOND     # a caller whose line is not whole by then is sent away
     call: int = 8 * SECOND // 10    # a caller waits a second
+    call_beside: int = SECOND // 2  # and of that a process beside this one has so much to confirm a call
 
     @property
     def spare(self) -> int:
@@ -74,7 +76,7 @@
     @property
     def at_door(self) -> int:
         """Clients that have not said their line yet, or are told no."""
-        return max(self.spare - self.calls * self.operated, 2) // 2
+        return max(self.spare - (self.calls + self.beside) * self.operated, self.spare // 2) // 2
 
     @property
     def kept_probes(self) -> int:
--- a/cypresswalk/net/probes.py
+++ b/cypresswalk/net/probes.py
@@ -27,6 +27,13 @@
         except RuntimeError:
             self.inbox.post(self.core.probed, server, False, [])
 
+    def end(self) -> None:
+        """Another process probes from now on."""
+        with self.using:
+            for _, sock in self.kept.values():
+                sock.close()
+            self.kept.clear()
+
     def run(self, server: Server, address: Address) -> None:
         passed, load = False, []
         until = self.inbox.clock() + self.limits.probe
--- a/cypresswalk/net/program.py
+++ b/cypresswalk/net/program.py
@@ -50,16 +50,26 @@
         asked = config.settings.list_asked
         self.watch = Watch(config.discovery, registry, self.core, self.inbox, self.limits, asked)
         self.prober = Prober(self.core, self.inbox, self.limits, config.load_fields)
-        self.peers = None
+        self.peers, self.admin, self.beside, sockets = None, None, None, []
+        if shared := config.admin is not None:
+            sockets = self.operate(config)
         if config.peer_listen is not None:
-            self.peers = Peers(config.peer_listen, config.peers_all, self.core, self.inbox, self.limits)
-        self.listener = Listener(config.listen, self.core, self.inbox, self.limits)
+            self.peers = Peers(config.peer_listen, config.peers_all, self.core, self.inbox, self.limits, shared,
+                               sockets[1] if len(sockets) > 1 else None)
+        self.listener = Listener(config.listen, self.core, self.inbox, self.limits, shared, sockets[0] if sockets else None)
         self.keeper = None
-        self.admin = None
-        if config.admin is not None:
-            # Imported here alone: the platform's earlier days have no operators who call.
-            from cypresswalk.net.admin import Admin
-            self.admin = Admin(config.admin, self.core, self.inbox, self.limits)
+
+    def operate(self, config: Config) -> list[socket.socket]:
+        """Operators may call and upgrade it; the sockets that a process before this one has passed on, if there is one.
+        Imported here alone: the platform's earlier days have no operators who call, and allow no Unix sockets."""
+        from cypresswalk.net.admin import Admin
+        from cypresswalk.net.beside import Beside
+        from cypresswalk.net.handover import Side
+        self.admin = Admin(config.admin, self.core, self.inbox, self.limits)
+        self.beside = Beside(os.environ.get("TMPDIR"), config.name, config.listen, self.inbox, self.limits)
+        self.elder = self.beside.meet()
+        self.core.side = Side(self.core, self, self.elder)
+        return [socket.socket(fileno=number) for number in self.elder.descriptors] if self.elder else []
 
     def keep_state(self, folder: str, every: float, config: Config) -> None:
         """Imported here alone: the platform's balancer has no folder that outlasts it, and no memory for this."""
@@ -72,10 +82,11 @@
 
     def run(self) -> None:
         pause = self.limits.fault_pause
-        start_thread(self.listener.run, pause)
+        if self.admin is not None and self.elder is not None:
+            self.elder.start(self.core.side)
+        else:
+            self.accept()
         start_thread(self.watch.run, pause, self.limits.list_stack)
-        if self.peers is not None:
-            start_thread(self.peers.run, pause)
         if self.admin is not None:
             start_thread(self.admin.run, pause)
         if self.keeper is not None:
@@ -139,6 +150,32 @@
     def report(self, now: int) -> None:
         log.info(f"event=counters {self.counters.line()}")
 
+    # What two processes of one balancer do for each other.
+
+    def accept(self) -> None:
+        self.listener.taking = True
+        start_thread(self.listener.run, self.limits.fault_pause)
+        if self.peers is not None:
+            self.peers.reading = True
+            start_thread(self.peers.run, self.limits.fault_pause)
+        if self.beside is not None:
+            self.beside.wait(self.core.side)
+
+    def stop_accepting(self) -> None:
+        self.listener.taking = False
+        if self.peers is not None:
+            self.peers.reading = False
+        self.prober.end()
+
+    def list_at(self) -> tuple[str, int]:
+        return "%s:%d" % self.watch.address, self.watch.registry.version
+
+    def names(self) -> dict[int, str]:
+        return self.watch.registry.names
+
+    def sockets(self) -> tuple[int, ...]:
+        return tuple(part.sock.fileno() for part in (self.listener, self.peers) if part is not None)
+
     # What the core asks for.
 
     def connect(self, leg: Leg, address: Address, line: bytes) -> None:
