--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -101,6 +101,7 @@
         # Half a minute: long enough that a burst does not pass for capacity in the cold budget.
         self.carried = Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
+        self.borne, self.next_borne = Decaying(30 * SECOND, now), now
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
@@ -129,6 +130,7 @@
                 server.fresh = form is not ListForm.CACHED
                 server.dealt = Decaying(max(2 * self.settings.fall_window, 1), now)
                 server.drops = Decaying(DROPS_TAU, now)
+                server.filled = Decaying(max(2 * self.settings.fall_window, 1), now)
                 # A new server is of no use before its first probe: that one is spread over two seconds of
                 # time, and not at all where probes are cheap. Guards against a grown fleet that stands empty.
                 stretch = self.stretch(now)
@@ -476,6 +478,8 @@
         spent = len(flow.tried) >= self.settings.max_connects
         if flow.until <= now or spent or not self.may_go_again(now, flow):
             return self.give_up(now, flow)
+        if now >= self.next_borne:
+            self.bear(now)
         if not flow.ask_until:
             flow.ask_until = now + flow.type.setup_target // 10
             self.deal(now, flow)
@@ -595,7 +599,34 @@
             # A server over the mean is still sound: that alone is no reason to cross to another pool.
             if spare:
                 return spare
-        return last
+        return last or self.room(now, flow)
+
+    def room(self, now: int, flow: Flow) -> Server | None:
+        """Instead of giving the flow up: a cold server that holds less than its present part of what warm ones have
+        held here. Flows that stand for minutes say little by how many end in a window, which is what the budget is
+        dealt by. Guards against sound cold servers that stand empty while all that come are rejected."""
+        if not self.settings.moves:
+            return None
+        for table, _ in self.pools():
+            for server in self.walk(table, flow.key):
+                if (self.cold(now, server) and server not in flow.tried and self.in_scope(flow, server)
+                        and now >= server.full_until and len(server.out) <= min(server.answers, IN_FLIGHT - 1)
+                        and server.misses < MISSES and not self.strained(now, server)):
+                    part = self.warmed(now, server) * self.borne.read(now) * server.weight
+                    load = self.load(server, flow)
+                    # Half of it in a window: a set-up asks work of its own.
+                    if load <= min(part, self.limit(now, server)) and server.filled.read(now) + 1 <= part / 2:
+                        server.filled.add(now, 1)
+                        return server
+        return None
+
+    def bear(self, now: int) -> None:
+        """What a warm server holds from here. Follows the mean up slowly, so that a mass return, which nobody has
+        borne yet, does not pass for what is borne; and down more slowly still: when most servers have restarted
+        none is left to tell."""
+        self.next_borne = now + FAST
+        warm = [s for s in self.servers.values() if self.up(s) and not self.cold(now, s)]
+        self.borne.add(now, max(self.mean(now, warm) - self.borne.read(now), 0.0) * FAST / BORNE)
 
     def walk(self, table: list[Server], key: int) -> Iterator[Server]:
         """The servers in the order in which the table names them from the key's slot on."""
@@ -617,7 +648,17 @@
         # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
         if now - server.cut_at > 10 * LIMIT_GROWTH:
             return math.inf
-        return server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
+        limit = server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
+        # What was too much for a cold server is not for a warmer one. Guards against servers that hold for their whole
+        # warming what they bore in its first second, a group or none, beside clients that are rejected.
+        if self.cold(server.cut_at, server):
+            limit *= self.warmed(now, server) / self.warmed(server.cut_at, server)
+        return limit
+
+    def warmed(self, now: int, server: Server) -> float:
+        """The part of its capacity that a server started lately is taken to have."""
+        s, age = self.settings, min(max(now - server.since, 0), self.settings.cold)
+        return s.cold_share + (1 - s.cold_share) * age / s.cold
 
     def fits(self, now: int, server: Server, flow: Flow, without: float, with_it: float) -> bool:
         """Whether that flow may be among what the limit leaves. Where one flow is more than the limit has
@@ -685,8 +726,7 @@
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
         for server in cold:
-            warmed = s.cold_share + (1 - s.cold_share) * (now - server.since) / s.cold
-            left = s.overload_factor * warmed * max(usual, LEAST_USUAL) - server.dealt.read(now)
+            left = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL) - server.dealt.read(now)
             part = min(max(left, 0.0), 1.0)
             server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
@@ -766,6 +806,7 @@
 LIMIT_GROWTH = 30 * SECOND    # and is forgotten at three percent a second: loads change within seconds
 TRIAL = 2 * SECOND            # how often one flow tries it: rarely against a time-out, often against trouble
 YIELDED = 1e9                 # flows: more than any budget, for longer than the process still lives
+BORNE = 10 * SECOND           # thrice the time in which a server that has too much says so
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -103,6 +103,7 @@
     misses: int = 0                 # connects unanswered since the last that was established
     errors: int = 0                 # connects answered with an error since then
     failed: int = 0                 # probes failed since the last that passed
+    filled: object = None           # and another: flows it was sent beyond that instead of giving them up
     drops: object = None            # a decaying sum: established flows that it broke off
     trial_at: int = 0               # when one flow may try a server with misses again
     strain: float = 0.0             # as last told: 1 is a message at its target, or all capacity asked
--- a/cypresswalk/net/handover.py
+++ b/cypresswalk/net/handover.py
@@ -30,8 +30,8 @@
 TIMES = ("trial_at", "strain_at", "full_until", "cut_at", "told_at", "barred_at")
 FLAGS = ("known", "fresh", "barred", "owed")
 PARTS = ("strain", "limit", "cut_delay", "delay")
-SUMS = ("dealt", "drops")
-OWN_SUMS = ("carried", "arrivals", "hints", "setup_time", "setups")
+SUMS = ("dealt", "filled", "drops")
+OWN_SUMS = ("carried", "borne", "arrivals", "hints", "setup_time", "setups")
 
 
 class Other(Protocol):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,5 +1,7 @@
 """Plain cases: what the design says, and each failure found."""
 
+import pytest
+
 from cypresswalk.choice import FALL, GROUP_WORK, IN_FLIGHT, RISE, TABLE_SIZE, maglev, mix
 from cypresswalk.model import SECOND, Effect, Flow, ListForm, Outcome, Server, State
 from helpers import START, Ledger, entries, service
@@ -571,3 +573,48 @@
     flow = ledger.arrive(grouped=True, key=5, again=True)
     assert flow.id in ledger.open and ledger.connects[-1][1].id == 20
     ledger.accept(flow)
+
+
+def test_a_limit_found_while_a_server_was_cold_grows_as_it_warms():
+    # Seen on operators' days: a server held for its whole warming the one group that it bore in its second second.
+    ledger = Ledger(servers=3)
+    cold, warm = list(ledger.balancer.servers.values())[:2]
+    cold.since = ledger.now
+    for server in (cold, warm):
+        ledger.balancer.keep_at(ledger.now, server, 3.0)
+    later = ledger.now + 10 * SECOND
+    grown = ledger.balancer.limit(later, warm)
+    assert 3 < grown < 5 and ledger.balancer.limit(later, cold) == pytest.approx(3 * grown, rel=0.01)    # 0.2 to 0.6 of it
+    cold.cut_at = cold.since + 30 * SECOND      # warm by then: as any other
+    assert ledger.balancer.limit(cold.cut_at + SECOND, cold) < 3.2
+
+
+@pytest.mark.parametrize("strain", [0.0, 0.9])
+def test_instead_of_rejects_cold_servers_are_filled_to_their_part_of_what_warm_ones_held_unless_strained(strain):
+    # Seen on operators' days: cold servers stood empty for ten seconds while each that came was rejected.
+    ledger = Ledger(servers=3)
+    for _ in range(60):
+        ledger.accept(ledger.arrive())
+    for _ in range(30):
+        ledger.pass_time(SECOND)
+        ledger.accept(ledger.arrive())
+    cold, *rest = ledger.balancer.servers.values()
+    for flow in list(cold.flows):
+        ledger.end(flow, Outcome.CANCELLED)
+    cold.since, cold.answers = ledger.now, 0
+    held = []
+    for _ in range(12):
+        for server in rest:
+            ledger.balancer.keep_at(ledger.now, server, 1.0)
+        ledger.balancer.peer_told(ledger.now, cold, strain)
+        for _ in range(30):
+            flow = ledger.arrive()
+            if flow.server is cold:
+                ledger.accept(flow)
+        held.append(len(cold.flows))
+        ledger.pass_time(SECOND)
+    room = ledger.balancer.room(ledger.now, Flow(9999, ledger.balancer.settings.service_types[0], 5, ledger.now + SECOND))
+    if strain:
+        assert room is None
+    else:
+        assert held[0] <= 3 and 6 <= held[5] <= held[-1] <= 16     # a fifth of some 20 at first
