--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -163,20 +163,20 @@
             self.doubt(now, server)
 
     def put_back(self, now: int, server: Server) -> None:
-        """As a server that has just started, whatever it was before; its start time tells whether it is cold."""
+        """As a server that has just started; its start time tells whether it is cold."""
         if server.barred:
             server.barred, server.owed, self.stale = False, True, True
             self.restart(now, server)
             self.next_look = now
 
     def yield_budgets(self, now: int) -> None:
-        """Another process of this balancer takes its flows from now on, and what is left of each cold server's budget."""
+        """Another process of this balancer takes what is left of each cold server's budget."""
         for server in self.servers.values():
             server.dealt.add(now, YIELDED)
             server.owed = False
 
     def avoided(self, now: int, server: Server) -> bool:
-        """Whether new flows pass it over now, by hand, by the list's word or by this module's own judgement."""
+        """Whether new flows pass it over now, by hand, by the list or by own judgement."""
         placed = any(server in group for _, group in self.pools())
         return not placed or now < server.full_until or max(server.misses, server.errors) >= MISSES
 
@@ -573,11 +573,11 @@
         need not be passed over; nearest pool first."""
         last = None
         pools = self.pools()
-        # Guards against a server that was put back by hand and stays empty: of a cold one's small part of the flows few
-        # are of its own keys.
+        # Guards against a server that was put back by hand and stays empty: of a cold one's small part of the
+        # flows few are of its own keys.
         for server in (s for _, servers in pools for s in servers if s.owed):
-            if (server not in flow.tried and self.in_scope(flow, server) and self.admits(now, server, flow, True)
-                    and self.sound(now, server, flow, True)):
+            if (server not in flow.tried and self.in_scope(flow, server)
+                    and self.admits(now, server, flow, True) and self.sound(now, server, flow, True)):
                 return server
         for table, servers in pools:
             home, spare = table[mix(flow.key) % TABLE_SIZE], None
@@ -602,9 +602,9 @@
         return last or self.room(now, flow)
 
     def room(self, now: int, flow: Flow) -> Server | None:
-        """Instead of giving the flow up: a cold server that holds less than its present part of what warm ones have
-        held here. Flows that stand for minutes say little by how many end in a window, which is what the budget is
-        dealt by. Guards against sound cold servers that stand empty while all that come are rejected."""
+        """Rather than give up: a cold server that holds less than its present part of what warm ones
+        have held here. Flows that stand for minutes say little by how many end in a window, which is what the
+        budget is dealt by. Guards against cold servers that stand empty beside rejects."""
         if not self.settings.moves:
             return None
         for table, _ in self.pools():
@@ -621,9 +621,9 @@
         return None
 
     def bear(self, now: int) -> None:
-        """What a warm server holds from here. Follows the mean up slowly, so that a mass return, which nobody has
-        borne yet, does not pass for what is borne; and down more slowly still: when most servers have restarted
-        none is left to tell."""
+        """What a warm server holds from here. Follows the mean up slowly, so that a mass return, which nobody
+        has borne yet, does not pass for what is borne; and down more slowly still: when most servers have
+        restarted none is left to tell."""
         self.next_borne = now + FAST
         warm = [s for s in self.servers.values() if self.up(s) and not self.cold(now, s)]
         self.borne.add(now, max(self.mean(now, warm) - self.borne.read(now), 0.0) * FAST / BORNE)
@@ -649,8 +649,8 @@
         if now - server.cut_at > 10 * LIMIT_GROWTH:
             return math.inf
         limit = server.limit * math.exp((now - server.cut_at) / LIMIT_GROWTH)
-        # What was too much for a cold server is not for a warmer one. Guards against servers that hold for their whole
-        # warming what they bore in its first second, a group or none, beside clients that are rejected.
+        # What was too much for a cold server is not for a warmer one. Guards against servers that hold for
+        # their whole warming what they bore in its first second, a group or none, beside clients rejected.
         if self.cold(server.cut_at, server):
             limit *= self.warmed(now, server) / self.warmed(server.cut_at, server)
         return limit
@@ -726,13 +726,15 @@
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
         for server in cold:
-            left = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL) - server.dealt.read(now)
+            budget = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL)
+            left = budget - server.dealt.read(now)
             part = min(max(left, 0.0), 1.0)
             server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
             # One put back by hand is owed its first flow, and one flow a window is anyone's to send it.
             first = server.owed and not server.answers and not server.out
-            if first or (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < part * share / max(share, keys):
+            chance = 1.0 if first else part * share / max(share, keys)
+            if (mix(flow.id ^ server.id) & 0xFFFFFFFF) / 0xFFFFFFFF < chance:
                 flow.admitted.append(server)
 
     # Moving established flows.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,6 @@
 from threading import Event, Thread
 
 import pytest
-from hypothesis import given
 from hypothesis import settings as runs
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
@@ -22,6 +21,7 @@
 from cypresswalk.net.lines import ProtocolError
 from cypresswalk.net.registry import server_number
 from helpers import listed
+from test_calls import stand
 from test_net import SEEDED, Bench
 from test_operated import Operated, free_port
 from test_sockets import ROOT, Lines, Program, Server, start  # noqa: F401 (a fixture)
@@ -98,16 +98,6 @@
     return None if call.answers.empty() else call.answers.get_nowait().decode().split()[0]
 
 
-def stand(process, count, first) -> list:
-    legs = []
-    for number in range(first, first + count):
-        session = process.open(number)
-        if session in process.sockets.out:
-            legs.append(process.sockets.out[session])
-            process.tell(process.core.up, legs[-1])
-    return legs
-
-
 def test_the_elder_serves_until_it_is_stopped_and_the_younger_from_then_on_with_all_that_it_knew():
     elder = Process()
     stand(elder, 6, 0)
