The composition stands above all packages, in service/

Need: net/program.py imported state/ and the operator file, the only arrows that ran up; the parts to come (fleet, copies, rollout) would have added more.

--- a/benchmarks/state_cost.py
+++ b/benchmarks/state_cost.py
@@ -20,7 +20,7 @@
 from cypresswalk.net.clock import Clock
 from cypresswalk.net.counters import Counters
 from cypresswalk.net.inbox import Inbox
-from cypresswalk.net.program import SWITCH_INTERVAL
+from cypresswalk.service.program import SWITCH_INTERVAL
 from cypresswalk.state.keeper import Keeper
 from helpers import entries, settings
 
--- a/cypresswalk/__main__.py
+++ b/cypresswalk/__main__.py
@@ -6,7 +6,7 @@
 
 def main() -> int:
     if len(sys.argv) == 1:
-        from cypresswalk.net.program import main as start
+        from cypresswalk.service.program import main as start
     else:
         from cypresswalk.cli import main as start
     return start()
--- a/cypresswalk/lab/baselines.py
+++ b/cypresswalk/lab/baselines.py
@@ -8,7 +8,7 @@
 
 from cypresswalk.choice import TABLE_SIZE, Balancer, mix
 from cypresswalk.model import Flow, Server
-from cypresswalk.net.program import main
+from cypresswalk.service.program import main
 
 
 class Plain(Balancer):
--- a/cypresswalk/lab/traced.py
+++ b/cypresswalk/lab/traced.py
@@ -7,7 +7,7 @@
 
 from cypresswalk.hosting import unpack_hint
 from cypresswalk.net.core import Core, Leg
-from cypresswalk.net.program import main
+from cypresswalk.service.program import main
 
 
 def say(now: int, what: str, *words: object) -> None:
