--- a/tests/test_operated.py
+++ b/tests/test_operated.py
@@ -113,7 +113,7 @@
         done = subprocess.run([sys.executable, "-m", "cypresswalk"], cwd=ROOT, capture_output=True, text=True, timeout=20,
                               env=os.environ | {"PROXY_CONFIG": str(file), "PROXY_ADMIN_ADDR": odd})
         assert done.returncode == 1 and says in done.stderr and done.stderr.count("\n") == 1
-    probe = ("import sys, threading; from cypresswalk.net import program; from cypresswalk.net.config import load;"
+    probe = ("import sys, threading; from cypresswalk.service import program; from cypresswalk.net.config import load;"
              "import os; p = program.Program(load(dict(os.environ)));"
              "print(p.admin, [m for m in sys.modules if m.endswith(('net.admin', 'net.handover'))])")
     done = subprocess.run([sys.executable, "-c", probe], cwd=ROOT, capture_output=True, text=True, timeout=20,
