--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -103,8 +103,7 @@
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.borne, self.next_borne = Decaying(30 * SECOND, now), now
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
-        targets = [t.message_target for t in settings.service_types if t.message_target]
-        self.message_target = min(targets, default=0)
+        self.resettled(now, settings)
         # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         self.keys: Counter[int] = Counter()
@@ -112,6 +111,13 @@
 
     # What has happened.
 
+    def resettled(self, now: int, settings: Settings) -> None:
+        """Other settings from now on; flows that are held go by those that they came under."""
+        self.settings = settings
+        targets = [t.message_target for t in settings.service_types if t.message_target]
+        self.message_target = min(targets, default=0)
+        self.next_look = now
+
     def listed(self, now: int, form: ListForm, entries: list[Server]) -> None:
         if form is ListForm.FAILED:
             # Calls wait in turn at one service: coming back at once would keep it jammed, so waits double.
--- /dev/null
+++ b/cypresswalk/fleet/agreed.py
@@ -0,0 +1,216 @@
+"""What the fleet has agreed: the same at every member after the same entries. No I/O, no clock, no chance.
+
+A version is a number and all that it holds: the settings, the server list, who is out by hand. Each change makes the next
+number. Settings go by compare-and-set on the version that last changed them, and come into force by one entry, once every
+balancer that acts has said that it can read them. A command is carried out once, however often it comes: its id tells."""
+
+from collections import OrderedDict
+from typing import Any
+
+import msgspec
+
+REMEMBERED = 512        # ids of commands carried out, with what came of them: a caller asks again within seconds
+HISTORY = 200           # records of who did what when
+SETTINGS_KEPT = 20      # settings that can be gone back to
+LIST_MOST = 20_000      # servers in an agreed list
+OUT_MOST = 10_000       # servers out by hand
+
+
+# Id, zone, cell, state, weight, its latest start in nanoseconds. No address: that may differ from one balancer to the next.
+Listed = tuple[str, int, int, str, float, int]
+
+
+class Command(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """`ident` is drawn by whoever asks; `by` names that person or balancer, `at` is its wall clock in milliseconds."""
+    ident: str
+    by: str
+    at: int
+
+
+class Offer(Command, frozen=True):
+    """`base`: the version that last changed the settings, as the caller read it."""
+    base: int
+    settings: dict[str, Any]
+
+
+class Activate(Command, frozen=True):
+    offer: str
+
+
+class Refuse(Command, frozen=True):
+    """`why`: a line for each balancer that can't read it."""
+    offer: str
+    why: list[str]
+
+
+class Out(Command, frozen=True):
+    server: str
+
+
+class Back(Command, frozen=True):
+    server: str
+
+
+class Listing(Command, frozen=True):
+    """A list of servers as a majority of voters got it; only a later generation of the same source takes its place."""
+    generation: int
+    epoch: int
+    servers: list[Listed]
+
+
+class Renew(Command, frozen=True):
+    """By hand: the list source begins anew, so that its generations count from the first on again."""
+
+
+class Note(Command, frozen=True):
+    """Something done by force at one balancer, for the record."""
+    what: str
+
+
+class Desire(Command, frozen=True):
+    """Which names are to vote, and which are to leave."""
+    voters: list[str]
+    left: list[str]
+
+
+class Fence(Command, frozen=True):
+    """The group begun by hand after most voters were lost: words of the groups named are not heard any more."""
+    groups: list[str]
+    what: str
+
+
+AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence
+commands = msgspec.msgpack.Decoder(AnyCommand)
+encode = msgspec.msgpack.encode
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+    by: str
+    at: int
+    what: str
+
+
+class Pending(msgspec.Struct, frozen=True, array_like=True):
+    offer: str
+    by: str
+    at: int
+    settings: dict[str, Any]
+
+
+class State(msgspec.Struct, array_like=True):
+    version: int = 0
+    settings_version: int = 0
+    settings: dict[str, Any] = {}
+    pending: Pending | None = None
+    out: dict[str, tuple[str, int]] = {}            # server: who took it out, and when
+    list_epoch: int = 0
+    list_generation: int = -1
+    list_version: int = 0
+    servers: list[Listed] = []
+    kept: list[tuple[int, dict[str, Any]]] = []     # settings by version, the latest last
+    history: list[Record] = []
+    done: list[tuple[str, bool, str]] = []          # ids of commands, the latest last, and what came of each
+    voters: list[str] = []
+    left: list[str] = []
+    fenced: list[str] = []
+
+
+states = msgspec.msgpack.Decoder(State)
+
+
+class Agreed:
+    def __init__(self, data: bytes = b""):
+        """Raises msgspec.DecodeError where `data` is no state."""
+        self.state = states.decode(data) if data else State()
+        self.done: OrderedDict[str, tuple[bool, str]] = OrderedDict((i, (ok, why)) for i, ok, why in self.state.done)
+
+    def dump(self) -> bytes:
+        self.state.done = [(ident, *result) for ident, result in self.done.items()]
+        return encode(self.state)
+
+    def apply(self, data: bytes) -> tuple[AnyCommand | None, tuple[bool, str]]:
+        """The command and what came of it, for who asked. One that this program can't read changes nothing here and is named:
+        the member must not act on what it does not understand."""
+        try:
+            command = commands.decode(data)
+        except msgspec.DecodeError as error:
+            return None, (False, f"unreadable: {error}")
+        if command.ident in self.done:
+            return command, self.done[command.ident]
+        result = self.carry_out(command)
+        self.done[command.ident] = result
+        while len(self.done) > REMEMBERED:
+            self.done.popitem(last=False)
+        return command, result
+
+    def carry_out(self, command: AnyCommand) -> tuple[bool, str]:
+        s = self.state
+        match command:
+            case Offer(base=base, settings=settings):
+                if base != s.settings_version:
+                    return False, f"stale: it was made on version {base}, version {s.settings_version} is the newest"
+                if s.pending is not None:
+                    return False, f"held: an offer by {s.pending.by} is being looked at"
+                s.pending = Pending(command.ident, command.by, command.at, settings)
+                return True, "pending"
+            case Activate(offer=offer):
+                if s.pending is None or s.pending.offer != offer:
+                    return False, "no such offer"
+                s.settings, by, at = s.pending.settings, s.pending.by, s.pending.at
+                s.pending = None
+                self.next(by, at, "settings")
+                s.settings_version = s.version
+                s.kept = [*s.kept, (s.version, s.settings)][-SETTINGS_KEPT:]
+                return True, f"version {s.version}"
+            case Refuse(offer=offer, why=why):
+                if s.pending is None or s.pending.offer != offer:
+                    return False, "no such offer"
+                self.note(s.pending.by, s.pending.at, "settings refused: " + "; ".join(why)[:500])
+                s.pending = None
+                return True, "; ".join(why)
+            case Out(server=server):
+                if server in s.out:
+                    return True, f"out since version {s.version} or before"
+                if len(s.out) >= OUT_MOST:
+                    return False, f"{OUT_MOST} servers are out already"
+                s.out[server] = command.by, command.at
+                self.next(command.by, command.at, f"server {server} out")
+                return True, f"version {s.version}"
+            case Back(server=server):
+                if s.out.pop(server, None) is None:
+                    return True, "it was not out"
+                self.next(command.by, command.at, f"server {server} back")
+                return True, f"version {s.version}"
+            case Listing(generation=generation, epoch=epoch, servers=servers):
+                # Guards against a list agent that is behind, and a word that overtook another: never back.
+                if epoch != s.list_epoch or generation <= s.list_generation:
+                    return False, f"list {generation} is not newer than {s.list_generation}"
+                if len(servers) > LIST_MOST:
+                    return False, f"more than {LIST_MOST} servers"
+                s.servers, s.list_generation = servers, generation
+                self.next(command.by, command.at, f"list {generation}")
+                s.list_version = s.version
+                return True, f"version {s.version}"
+            case Renew():
+                s.list_epoch, s.list_generation = s.list_epoch + 1, -1
+                self.next(command.by, command.at, "the list's source begins anew")
+                return True, f"version {s.version}"
+            case Note(what=what):
+                self.note(command.by, command.at, what[:500])
+                return True, "noted"
+            case Desire(voters=voters, left=left):
+                s.voters, s.left = voters, left
+                self.note(command.by, command.at, f"voters {', '.join(voters)}" + (f"; left {', '.join(left)}" if left else ""))
+                return True, "noted"
+            case Fence(groups=groups, what=what):
+                s.fenced = [*s.fenced, *groups][-20:]
+                self.note(command.by, command.at, what[:500])
+                return True, "noted"
+
+    def next(self, by: str, at: int, what: str) -> None:
+        self.state.version += 1
+        self.note(by, at, what)
+
+    def note(self, by: str, at: int, what: str) -> None:
+        self.state.history = [*self.state.history, Record(self.state.version, by, at, what)][-HISTORY:]
--- /dev/null
+++ b/cypresswalk/fleet/binding.py
@@ -0,0 +1,272 @@
+"""What the deciding thread does about what is agreed: settings, list and servers out by hand go into its core. Called by that
+thread alone, but for `check`, which reads what never changes.
+
+What this balancer was told itself binds it at once; what others agreed is added. Nothing loosens on its own list's word: a
+server that the agreed list does not have in service, or that is out by hand, gets nothing new whatever this balancer's own list
+agent says."""
+
+import copy
+import logging
+import time
+import uuid
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from cypresswalk.fleet.agreed import Listed
+from cypresswalk.fleet.driver import Fleet
+from cypresswalk.fleet.member import View
+from cypresswalk.hosting import SettingsError, decode_settings
+from cypresswalk.model import ListForm, Server, Settings, State
+from cypresswalk.net.calls import Call
+from cypresswalk.net.config import Address, Config, read
+from cypresswalk.net.core import Core
+from cypresswalk.net.logs import event
+from cypresswalk.net.registry import Registry, server_number
+from cypresswalk.operator import FleetTable
+
+log = logging.getLogger(__name__)
+# Of the settings in the balancer's file, those that decide where flows may go and how many; the rest says who it is.
+SHARED = ("serviceTypes", "tenants", "limits", "rules", "deductions", "extra", "overagePayoff", "instances")
+# What is built into the program at its start: another value there is refused, not half followed.
+FIXED = (("limits", "dialTimeout"), ("extra", "groups"), ("extra", "tellsLoad"), ("extra", "tellsDelay"))
+CALL_SPAN = 0.7             # seconds: a caller at `admin_addr` waits one
+TIGHTNESS = {State.READY: 0, State.DRAINING: 1, State.GONE: 2}
+
+
+def shared(params: dict[str, Any]) -> dict[str, Any]:
+    return {name: params[name] for name in SHARED if name in params}
+
+
+def merged(own: dict[str, Any], agreed: dict[str, Any]) -> dict[str, Any]:
+    """This balancer's settings with what the fleet has agreed in their place, part by part."""
+    params = {name: value for name, value in own.items() if name not in SHARED}
+    return params | copy.deepcopy(agreed)
+
+
+def objection(own: dict[str, Any], settings: object) -> str:
+    """Why a balancer with those settings of its own could not act on these, or nothing."""
+    if not isinstance(settings, dict):
+        return "no table of settings"
+    if unknown := sorted(set(settings) - set(SHARED)):
+        return f"{', '.join(unknown)}: not among what the fleet agrees on ({', '.join(SHARED)})"
+    params = merged(own, settings)
+    try:
+        decoded = decode_settings(params)
+        names = [kind["name"] for kind in params["serviceTypes"]]
+        tenants = [tenant["name"] for tenant in params.get("tenants") or []]
+        if not names or len(set(names)) != len(names) or len(set(tenants)) != len(tenants):
+            return "serviceTypes, tenants: none, or a name twice"
+        if not all(isinstance(name, str) for name in (*names, *tenants)):
+            return "serviceTypes, tenants: a name that is no text"
+        if any(float(kind["giveUp"]) <= 0 for kind in params["serviceTypes"]):
+            return "serviceTypes: giveUp must be above 0"
+    except (SettingsError, KeyError, TypeError, ValueError, AttributeError) as error:
+        return str(error) or type(error).__name__
+    if decoded.instances < 1 or decoded.max_connects < 1 or min(k.setup_target for k in decoded.service_types) <= 0:
+        return "instances, maxConnects, setupTarget: each above 0"
+    for part, name in FIXED:
+        if (params.get(part) or {}).get(name) != (own.get(part) or {}).get(name):
+            return f"{part}.{name}: takes effect at a start alone, so it stays {(own.get(part) or {}).get(name)!r} here"
+    return ""
+
+
+class Binding:
+    def __init__(self, table: FleetTable, config: Config, core: Core, post: Callable[..., None], registry: Callable[[], Registry]):
+        self.core, self.registry, self.post = core, registry, post
+        self.params = read(config.path)["settings"]
+        self.fleet = Fleet(table, lambda settings: objection(self.params, settings), shared(self.params),
+                           lambda view: post(self.act_on, view), lambda: post(self.leased))
+        self.version = 0
+        self.settings_version = 0
+        self.list_version = 0
+        self.out: set[str] = set()          # by the fleet
+        self.here: set[str] = set()         # by force, at this balancer alone
+        self.list_agreed: dict[int, tuple[State, int]] | None = None
+        # What this balancer's own agent says, by number.
+        self.own: dict[int, tuple[Server, Address]] = {
+            server.id: (as_listed(server), core.addresses[server.id]) for server in core.balancer.servers.values()
+            if server.id in core.addresses}
+        self.told: tuple[int, bytes] = (-1, b"")
+        self.who = table.name
+        self.settings: dict[str, Any] | None = None
+        self.places = dict(core.customers)  # customers' numbers, which flows that are held count by
+        core.agreement = self
+        core.lease = self.fleet.may_act
+
+    # The lease.
+
+    def leased(self, now: int) -> None:
+        self.core.settle()
+
+    # Views.
+
+    def act_on(self, now: int, view: View) -> None:
+        """Raises nothing that would leave it half done: a view that can't be followed is not acted on, so no lease holds."""
+        if view.version <= self.version:
+            return
+        if view.settings_version > self.settings_version:
+            why = objection(self.params, view.settings)
+            if why:
+                log.error(event("agreed_settings_unreadable", version=view.settings_version, why=why))
+                return
+            self.settle(now, view.settings)
+            self.settings_version = view.settings_version
+            log.info(event("settings_agreed", version=view.settings_version))
+        for ident in sorted(set(view.out) - self.out):
+            self.core.obey(now, Call("set-down", ident), known=True)
+        for ident in sorted(self.out - set(view.out)):
+            if ident not in self.here:
+                self.core.obey(now, Call("set-up", ident), known=True)
+        self.out = set(view.out)
+        if view.list_version > self.list_version:
+            self.list_version = view.list_version
+            self.follow(now, view.servers)
+        self.version = view.version
+        self.fleet.acted(view.version)
+        log.info(event("acting_on", version=view.version, out=len(self.out)))
+
+    def settle(self, now: int, agreed: dict[str, Any]) -> None:
+        params, core = merged(self.params, agreed), self.core
+        settings = decode_settings(params)
+        kinds = {kind["name"]: i for i, kind in enumerate(params["serviceTypes"])}
+        places = self.places        # a name keeps the number it had
+        names = [tenant["name"] for tenant in params.get("tenants") or []]
+        for name in names:
+            places.setdefault(name, len(places))
+        shares = dict(zip(names, settings.shares))
+        if shares:
+            settings.shares = [shares.get(name, float("inf")) for name in sorted(places, key=places.get)]
+        core.balancer.resettled(now, settings)
+        self.settings = agreed
+        core.service_types, core.customers = kinds, {name: places[name] for name in names}
+        for counts in core.figures.counts.values():
+            for name in kinds:
+                counts.setdefault(name, 0)
+        core.settle()
+
+    # Two processes of this balancer side by side (net/handover.py): one part in the fleet, one lease.
+
+    def handed(self) -> dict[str, Any]:
+        return {"until": self.fleet.until, "version": self.version, "settings_version": self.settings_version,
+                "settings": self.settings, "out": sorted(self.out), "here": sorted(self.here),
+                "list_version": self.list_version,
+                "list": None if self.list_agreed is None else [[i, s.value, since] for i, (s, since) in self.list_agreed.items()]}
+
+    def inherit(self, now: int, told: dict[str, Any]) -> None:
+        """From the process before this one, which has the part in the fleet still: its lease serves both until it ends.
+        Raises KeyError, TypeError or ValueError, having changed nothing, where what it tells is odd."""
+        until, version = int(told["until"]), int(told["version"])
+        list_agreed = None if told["list"] is None else {int(i): (State(s), int(since)) for i, s, since in told["list"]}
+        out, here, settings = {str(s) for s in told["out"]}, {str(s) for s in told["here"]}, told["settings"]
+        if version < self.version or settings is not None and objection(self.params, settings):
+            return      # without that lease it waits until it has its own part
+        if settings is not None and int(told["settings_version"]) > self.settings_version:
+            self.settle(now, settings)
+            self.settings_version = int(told["settings_version"])
+        self.out, self.here, self.list_agreed = out, here, list_agreed
+        self.list_version, self.version = int(told["list_version"]), version
+        for ident in sorted(out | here):
+            self.core.obey(now, Call("set-down", ident), known=True)
+        self.core.listed(now, ListForm.DELTA, [])
+        self.fleet.inherit(until, version)
+
+    # Lists.
+
+    def follow(self, now: int, servers: tuple[Listed, ...]) -> None:
+        self.list_agreed = {}
+        for ident, _, _, state, _, since in servers:
+            self.list_agreed[server_number(ident)] = State(state), since
+        self.core.listed(now, ListForm.DELTA, [])
+
+    def listed(self, now: int, form: ListForm, entries: list[tuple[Server, Address]]) -> tuple[ListForm, list]:
+        """What this balancer's own agent told becomes what it acts on: of both lists the tighter word."""
+        for server, where in entries:
+            self.own[server.id] = as_listed(server), where
+        if form is not ListForm.DELTA:
+            named = {server.id for server, _ in entries}
+            for ident, (server, _) in self.own.items():
+                if ident not in named:
+                    server.state = State.GONE
+        self.report()
+        effective = []
+        for ident, (server, where) in self.own.items():
+            state, since = self.tighter(ident, server)
+            known = self.core.balancer.servers.get(ident)
+            before = known and (known.state, known.since, known.zone, known.cell, known.weight)
+            if before != (state, since, server.zone, server.cell, server.weight) or self.core.addresses.get(ident) != where:
+                made = as_listed(server)
+                made.state, made.since = state, since
+                effective.append((made, where))
+        return ListForm.DELTA, effective
+
+    def tighter(self, ident: int, server: Server) -> tuple[State, int]:
+        if self.list_agreed is None:
+            return server.state, server.since
+        state, since = self.list_agreed.get(ident, (State.GONE, 0))
+        return max((server.state, state), key=TIGHTNESS.get), max(since, server.since)
+
+    def report(self) -> None:
+        """To the leader, which compares what the voters were told."""
+        registry = self.registry()
+        servers = sorted((registry.names[s.id], s.zone, s.cell, s.state.value, float(s.weight), s.since)
+                         for s, _ in self.own.values() if s.state is not State.GONE and s.id in registry.names)
+        digest = blake2b(msgspec.msgpack.encode(servers), digest_size=16).digest()
+        if (registry.version, digest) != self.told and registry.version > 0:
+            self.told = registry.version, digest
+            self.fleet.told_list(registry.version, digest, servers)
+
+    # Calls.
+
+    def takes(self, now: int, call: Call) -> bool:
+        """Whether the answer comes from the fleet."""
+        if call.name not in ("set-down", "set-up", "set-down-here", "set-up-here"):
+            return False
+        if not self.fleet.started.is_set():
+            call.answers.put(b"ERR this process has no part in the fleet yet; call another balancer\r\n")
+            return True
+        if call.name.endswith("-here"):
+            self.by_force(now, call)
+            return True
+        if call.name == "set-down" and server_number(call.server) not in self.core.balancer.servers:
+            self.core.reply(call, "no list has named that server")
+            return True
+        args = {"ident": uuid.uuid4().hex, "by": f"{self.who} (call)", "at": time.time_ns() // 1_000_000, "server": call.server}
+
+        def reply(ok: bool, body: Any) -> None:
+            self.post(self.agreed, call, ok, body)
+        self.fleet.call("out" if call.name == "set-down" else "back", args, reply, CALL_SPAN)
+        return True
+
+    def agreed(self, now: int, call: Call, ok: bool, body: Any) -> None:
+        """The yes comes after the fleet's and this balancer's own: it acts already on what it has agreed to."""
+        if not ok:
+            self.core.reply(call, f"not agreed: {body.get('why', body) if isinstance(body, dict) else body}")
+            return
+        if call.name == "set-down":
+            self.out.add(call.server)
+            self.core.obey(now, Call("set-down", call.server), known=True)
+        elif call.server in self.out and call.server not in self.here:
+            self.out.discard(call.server)
+            self.core.obey(now, Call("set-up", call.server), known=True)
+        self.core.reply(call, None)
+
+    def by_force(self, now: int, call: Call) -> None:
+        """At this balancer alone, said so and recorded with the fleet as soon as that can be had."""
+        down = call.name == "set-down-here"
+        why = self.core.obey(now, call)
+        if why is None:
+            self.here.add(call.server) if down else self.here.discard(call.server)
+            if not down and call.server in self.out:
+                self.core.obey(now, Call("set-down", call.server), known=True)
+                why = "out by the fleet still: `set-up` ends that"
+            self.fleet.call("note", {"ident": uuid.uuid4().hex, "by": self.who, "at": time.time_ns() // 1_000_000,
+                                     "what": f"{call.name} {call.server} at {self.who} alone"}, lambda ok, body: None, 600.0)
+        self.core.reply(call, why)
+
+
+def as_listed(server: Server) -> Server:
+    """What a list says of it, without what this balancer has learned."""
+    return Server(id=server.id, zone=server.zone, cell=server.cell, weight=server.weight, since=server.since, state=server.state)
--- /dev/null
+++ b/cypresswalk/fleet/member.py
@@ -0,0 +1,681 @@
+"""One balancer's part in the fleet: founding, joining, leases, versions and calls, round one `agreement.Node`. No I/O, no clock.
+
+How it is called: `heard`, `passed`, `call`, `acted`, `told_list` say what happens; then the owner takes `take()` until None and for
+each piece begins or writes what it says, flushed, calls `written`, sends, calls `apply`. One thread alone calls it.
+
+A group is founded once: by the first member lowest in name, when every other first member has said, lately and with the same
+first members in its table, that it belongs to none. Whoever finds a group joins it as a follower under an incarnation of its own;
+the leader makes it a voter in place of an older incarnation of its name once it has caught up."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from random import Random
+from typing import Any
+
+import msgspec
+
+from cypresswalk.agreement.log import Snapshot
+from cypresswalk.agreement.node import Busy, Kept, Node, Role, Timing, Work
+from cypresswalk.agreement.words import DATA, Entry, Member as One, Members, Word
+from cypresswalk.fleet import agreed as state
+from cypresswalk.fleet.agreed import Agreed, AnyCommand
+from cypresswalk.fleet.leases import Given, Held
+from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, Result
+
+log = logging.getLogger(__name__)
+SECOND = 1_000_000_000
+HAIL = SECOND // 2              # how often one without a group looks for one
+FRESH = 2 * SECOND              # an answer to a hail says nothing about later
+LOST = 3 * SECOND               # a member that heard no leader for so long looks for one as if it had none
+TEND = SECOND // 5              # how often a leader looks after members and offers
+AGAIN = SECOND // 2             # a call unanswered for so long goes to whoever leads by then
+CALLS = 1000                    # waiting here at a time; beyond them a call is refused at once
+COMPACT = 512                   # entries agreed since the last snapshot: it is taken anew
+BEHIND = 16                     # entries that one may lack and count as caught up
+MEMBERS = 207                   # seven voters and two hundred that follow
+VOTERS = 7
+Reply = Callable[[bool, Any], None]
+
+
+class Strange(Exception):
+    """An entry that this program can't read: it must not go on as if it were not there."""
+
+
+@dataclass(frozen=True, slots=True)
+class About:
+    fleet: str
+    name: str
+    address: str
+    zone: str
+    first: tuple[tuple[str, str], ...]      # names and addresses of the first members
+    stated: int                             # nanoseconds for which two may act on contradicting versions
+    timing: Timing = Timing()
+
+    @property
+    def first_digest(self) -> str:
+        names = "\n".join(f"{name} {address}" for name, address in sorted(self.first))
+        return blake2b(names.encode(), digest_size=8).hexdigest()
+
+    @property
+    def founder(self) -> bool:
+        return any(name == self.name for name, _ in self.first)
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What the deciding thread is to act on."""
+    version: int
+    settings_version: int
+    settings: dict[str, Any]
+    out: tuple[str, ...]
+    list_version: int
+    servers: tuple
+
+
+@dataclass(slots=True)
+class Step:
+    """In this order: `begin` or the work written and flushed, `Member.written`, send, `Member.apply`."""
+    begin: tuple[str, Kept] | None = None       # a new file, of that group
+    work: Work | None = None
+    sends: list[tuple[str, AnyFrame]] = field(default_factory=list)     # to a member's id, or an address with a colon
+    reborn: str = ""                            # why this identity is given up; the rest is void
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A call that somebody here asked."""
+    name: str
+    args: dict[str, Any]
+    reply: Reply
+    until: int
+    again_at: int = 0
+    sent: bool = False
+
+
+class Member:
+    def __init__(self, about: About, ident: str, group: str, kept: Kept | None, now: int, chance: Random,
+                 check: Callable[[dict], str], own: dict[str, Any] | None = None):
+        """`check`: why this balancer could not act on those settings, or nothing. `own`: those of its file, offered where the
+        fleet has none yet. Raises msgspec.DecodeError where what was kept is no state."""
+        self.about, self.id, self.group, self.chance, self.check, self.own = about, ident, group, chance, check, own
+        self.node: Node | None = None
+        self.agreed, self.applied = Agreed(), -1
+        self.sends: list[tuple[str, AnyFrame]] = []
+        self.begin: tuple[str, Kept] | None = None
+        self.reborn = ""
+        self.held = Held(about.stated)
+        self.ask_at, self.hail_at, self.tend_at = now, now, now
+        self.hails: dict[str, tuple[int, HailAnswer]] = {}      # answers, by name
+        self.joining: dict[str, tuple[int, Hail]] = {}          # at the leader: who wants in, by name
+        self.given: Given | None = None
+        self.objections: dict[str, tuple[str, str]] = {}        # by member: the offer it looked at, why not
+        self.reports: dict[str, tuple[int, bytes]] = {}         # by member: its list
+        self.wipes = 0
+        self.wiped: dict[str, int] = {}
+        self.acts_on, self.acts_since = 0, now
+        self.acting: dict[str, tuple[int, int]] = {}            # by member: the version it acts on, heard first when
+        self.list_told: tuple[int, bytes, list] = (-1, b"", [])
+        self.calls: dict[int, Waiting] = {}
+        self.numbers = 0
+        self.results: dict[str, list[Reply]] = {}               # at the leader: who waits for which command
+        self.settling: list[tuple[int, int, Reply]] = []        # who waits until all act on a version, until when
+        self.said: set[str] = set()
+        self.led_before = False
+        self.views: list[View] = []
+        self.viewed: tuple | None = None
+        if kept is not None:
+            self.start(kept, now)
+
+    def start(self, kept: Kept, now: int) -> None:
+        self.node = Node(self.id, kept, self.about.timing, self.chance, now)
+
+    def once(self, what: str, **words: object) -> None:
+        key = what + repr(sorted(words.items()))
+        if key not in self.said and len(self.said) < 1000:
+            self.said.add(key)
+            log.warning("event=%s %s", what, " ".join(f"{name}={value}" for name, value in words.items()))
+
+    # What is known.
+
+    @property
+    def leads(self) -> bool:
+        return self.node is not None and self.node.role is Role.LEADER
+
+    @property
+    def leader(self) -> str:
+        return self.node.leader if self.node is not None else ""
+
+    @property
+    def members(self) -> Members:
+        return self.node.log.members if self.node is not None else ()
+
+    def address_of(self, ident: str) -> str:
+        return next((m.address for m in self.members if m.id == ident), "")
+
+    def lease_until(self) -> int:
+        """Until when the deciding thread may act on the version that it has; 0 for not at all."""
+        return self.held.until(self.acts_on)
+
+    def due(self) -> int:
+        due = [self.ask_at, self.hail_at]
+        if self.node is not None:
+            due.append(self.node.due())
+        if self.leads:
+            due.append(self.tend_at)
+        due += [min(w.again_at, w.until) for w in self.calls.values()] + [until for _, until, _ in self.settling]
+        return min(due)
+
+    # Time.
+
+    def passed(self, now: int) -> None:
+        if self.node is not None:
+            self.node.passed(now)
+            if self.leads != self.led_before:
+                self.led_before = self.leads
+                self.turned(now)
+        if now >= self.hail_at:
+            self.hail_at = now + HAIL + self.chance.randrange(HAIL // 4)
+            self.look_for_group(now)
+        if now >= self.ask_at:
+            self.ask(now)
+        if self.leads and now >= self.tend_at:
+            self.tend_at = now + TEND
+            self.tend(now)
+        for number, waiting in list(self.calls.items()):
+            if now >= waiting.until:
+                del self.calls[number]
+                said = "it may or may not come into force; ask for the state" if waiting.sent and waiting.name != "status" \
+                    else "nothing was done"
+                waiting.reply(False, {"why": f"the fleet did not answer in time; {said}", "unsure": waiting.sent})
+            elif now >= waiting.again_at:
+                self.pass_on(now, number, waiting)
+        self.look_settled(now)
+
+    def turned(self, now: int) -> None:
+        """It leads now, or does no more."""
+        self.given = Given(self.about.stated, now) if self.leads else None
+        self.objections, self.reports, self.joining, self.acting, self.wiped = {}, {}, {}, {}, {}
+        self.results = {}
+        settling, self.settling = self.settling, []
+        for _, _, reply in settling:
+            reply(False, {"why": "another leads now; ask again", "again": True})
+        self.tend_at = now
+        log.info("event=%s term=%d member=%s", "leading" if self.leads else "following", self.node.term, self.id)
+
+    # Founding and joining.
+
+    def look_for_group(self, now: int) -> None:
+        node = self.node
+        if node is not None and (self.leads or node.heard_at is not None and now - node.heard_at < LOST
+                                 and any(m.id == self.id for m in self.members)):
+            return
+        hail = Hail(self.id, self.group, self.about.address, self.about.zone, self.about.first_digest, self.about.founder)
+        seen = {self.about.address}
+        for address in [address for _, address in self.about.first] + [m.address for m in self.members] \
+                + [m.address for _, answer in self.hails.values() for m in answer.members]:
+            if address and address not in seen:
+                seen.add(address)
+                self.sends.append((address, hail))
+        if node is None:
+            self.found(now)
+
+    def found(self, now: int) -> None:
+        others = [name for name, _ in self.about.first if name != self.about.name]
+        if not self.about.founder or any(name < self.about.name for name in others):
+            return
+        answers = [self.hails.get(name) for name in others]
+        if any(a is None or now - a[0] > FRESH or a[1].group or a[1].first != self.about.first_digest for a in answers):
+            return
+        addresses = dict(self.about.first)
+        members = (One(self.id, True, self.about.address, self.about.zone),
+                   *(One(a[1].members[0].id, True, addresses[name], a[1].members[0].zone)
+                     for name, a in zip(others, answers)))
+        self.adopt(now, f"{self.about.fleet}-{self.chance.getrandbits(64):016x}", Snapshot(0, 0, members, b""))
+        log.info("event=founded group=%s members=%s", self.group, ",".join(m.id for m in members))
+
+    def adopt(self, now: int, group: str, snapshot: Snapshot) -> None:
+        self.group = group
+        kept = Kept(snapshot)
+        self.begin = group, kept
+        self.start(kept, now)
+
+    def hailed(self, now: int, hail: Hail) -> None:
+        name = hail.id.partition("#")[0]
+        refused = ""
+        if self.node is None and hail.founder and self.about.founder and hail.first != self.about.first_digest:
+            self.once("first_members_differ", here=self.about.first_digest, there=hail.first, member=hail.id)
+            refused = "the first members in its table are others than in mine"
+        elif name == self.about.name and hail.id != self.id:
+            refused = "that name is mine"
+        elif self.leads and not any(m.id == hail.id for m in self.members):
+            if hail.group == self.group:
+                # Only a leader that is sure to lead still may say so: a voter's copy of the log goes with its identity.
+                try:
+                    self.node.read(now, ("replaced", hail))
+                except Busy:
+                    pass
+                return
+            refused = self.may_join(now, name, hail) if not hail.group else "it belongs to another group"
+        self.answer_hail(hail, refused)
+
+    def answer_hail(self, hail: Hail, refused: str = "", replaced: bool = False) -> None:
+        if self.node is None:
+            # Its own entry alone: so the founder learns under which incarnation it would begin.
+            members: Members = (One(self.id, False, self.about.address, self.about.zone),)
+        else:
+            members = self.members
+        self.sends.append((hail.address, HailAnswer(hail.id, self.group, self.about.first_digest, members, self.leader, refused,
+                                                    replaced, self.agreed.state.fenced)))
+
+    def may_join(self, now: int, name: str, hail: Hail) -> str:
+        if name in self.agreed.state.left:
+            return "it has left the fleet; `fleet join` lets it in again"
+        if len(self.members) >= MEMBERS:
+            return f"the fleet has {MEMBERS} members"
+        for member in self.members:
+            peer = self.node.peers.get(member.id)
+            # Guards against two processes of one name that replace each other in turn.
+            if member.name == name and peer is not None and peer.answered and now - peer.heard_at < FRESH:
+                return "a balancer of that name is heard still"
+        self.joining[name] = now, hail
+        return ""
+
+    def hail_answered(self, now: int, answer: HailAnswer) -> None:
+        if answer.id != self.id:
+            return
+        if answer.refused:
+            self.once("hail_refused", why=answer.refused)
+        for member in answer.members[:1] if not answer.group else ():
+            self.hails[member.name] = now, answer
+        if not answer.group:
+            return
+        self.hails["@" + answer.leader] = now, answer
+        while len(self.hails) > 32:
+            del self.hails[next(iter(self.hails))]
+        if self.node is None:
+            if any(m.id == self.id for m in answer.members):
+                self.adopt(now, answer.group, Snapshot(-1, 0, (), b""))
+                log.info("event=joined group=%s member=%s", self.group, self.id)
+        elif answer.group != self.group:
+            if self.group in answer.fenced:
+                self.reborn = f"group {self.group} was fenced off; {answer.group} took its place"
+            else:
+                self.once("another_group", here=self.group, there=answer.group)
+        elif answer.replaced:
+            self.reborn = "another incarnation of this name took its place, or it was never let in"
+
+    # Leases.
+
+    def ask(self, now: int) -> None:
+        waits = self.about.stated // 4 if now < self.lease_until() else self.about.stated // 20
+        self.ask_at = now + waits - self.chance.randrange(waits // 4)
+        if self.node is None or not self.leader:
+            return
+        pending = self.agreed.state.pending
+        offer = pending.offer if pending else ""
+        objection = self.check(pending.settings)[:300] if pending else ""
+        generation, digest, _ = self.list_told
+        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes)
+        if self.leads:
+            self.asked(now, self.id, ask)
+        else:
+            self.sends.append((self.leader, ask))
+
+    def asked(self, now: int, source: str, ask: Ask) -> None:
+        if not self.leads or not any(m.id == source for m in self.members):
+            return
+        self.given.said(source, ask.version)
+        if self.acting.get(source, (None,))[0] != ask.version:
+            self.acting[source] = ask.version, now
+        if ask.offer:
+            self.objections[source] = ask.offer, ask.objection
+        self.reports[source] = ask.generation, ask.digest
+        self.wiped[source] = ask.wipes
+        try:
+            self.node.read(now, ("lease", source, ask.number))
+        except Busy:
+            pass        # it asks again
+
+    def granted(self, now: int, grant: Grant) -> None:
+        self.held.granted(grant.number, grant.version)
+
+    def acted(self, now: int, version: int) -> None:
+        """The deciding thread acts on it now."""
+        if version > self.acts_on:
+            self.acts_on, self.acts_since = version, now
+            self.ask_at = now       # so that those who wait for all to act on it hear of it
+
+    def told_list(self, now: int, generation: int, digest: bytes, servers: list) -> None:
+        self.list_told = generation, digest, servers
+        if self.node is not None and self.node.is_voter():
+            self.ask_at = min(self.ask_at, now)
+
+    # The leader looks after members, offers and lists.
+
+    def tend(self, now: int) -> None:
+        try:
+            self.tend_offer(now)
+            self.tend_list(now)
+            self.tend_members(now)
+        except Busy:
+            pass        # at the next look
+
+    def propose(self, now: int, command: AnyCommand) -> None:
+        self.node.propose(now, state.encode(command))
+
+    def tend_offer(self, now: int) -> None:
+        s = self.agreed.state
+        if s.pending is None:
+            if s.settings_version == 0 and self.own is not None and f"first:{self.group}" not in self.agreed.done \
+                    and self.node.log.term(self.node.commit) == self.node.term:
+                self.propose(now, state.Offer(f"first:{self.group}", self.about.name, 0, 0, self.own))
+            return
+        offer = s.pending.offer
+        why = [f"{member.partition('#')[0]}: {text}" for member, (seen, text) in sorted(self.objections.items())
+               if seen == offer and text]
+        mine = self.check(s.pending.settings)
+        if mine and not any(line.startswith(f"{self.about.name}:") for line in why):
+            why.append(f"{self.about.name}: {mine}"[:400])
+        if why:
+            self.propose(now, state.Refuse(f"refuse:{offer}", self.about.name, s.pending.at, offer, why))
+        elif all(self.objections.get(m.id, ("",))[0] == offer or m.id == self.id or self.given.lapsed(now, m.id)
+                 for m in self.members):
+            self.propose(now, state.Activate(f"activate:{offer}", self.about.name, s.pending.at, offer))
+
+    def tend_list(self, now: int) -> None:
+        """A list that a majority of the voters got from their own agents, the same to the byte. Guards against one agent that
+        lies; one that is behind names a generation that is no later than the agreed one."""
+        generation, digest, servers = self.list_told
+        s = self.agreed.state
+        if generation <= s.list_generation:
+            return
+        voters = self.node.voters
+        alike = sum(v == self.id or self.reports.get(v) == (generation, digest) for v in voters)
+        if alike >= self.node.majority(len(voters)):
+            self.propose(now, state.Listing(f"list:{s.list_epoch}:{generation}", self.about.name, 0, generation, s.list_epoch,
+                                            servers))
+
+    def tend_members(self, now: int) -> None:
+        members = self.node.log.members
+        names = {m.name for m in members if m.voter}
+        desired = self.agreed.state.voters
+        if not desired:
+            if self.node.log.term(self.node.commit) == self.node.term:
+                self.propose(now, state.Desire(f"voters:{self.group}", self.about.name, 0, sorted(names), []))
+            return
+        wanted = self.next_members(now, members, desired)
+        if wanted is not None:
+            self.node.change(now, wanted)
+
+    def next_members(self, now: int, members: Members, desired: list[str]) -> Members | None:
+        """The next step, one at a time, towards who should vote and who should be there."""
+        newest = {m.name: m for m in members}       # a later incarnation stands behind an earlier one
+        gone = [m for m in members if m.name in self.agreed.state.left or newest[m.name] is not m]
+        for member in gone:
+            if not member.voter:
+                return tuple(m for m in members if m is not member)
+        for name, (at, hail) in list(self.joining.items()):
+            del self.joining[name]
+            if now - at < FRESH and not any(m.id == hail.id for m in members):
+                return (*members, One(hail.id, False, hail.address, hail.zone))
+        for name in desired:
+            member = newest.get(name)
+            if member is not None and not member.voter and member not in gone and self.caught_up(now, member.id):
+                return tuple(One(m.id, True, m.address, m.zone) if m is member else m for m in members)
+        ready = {m.name for m in members if m.voter and newest[m.name] is m}
+        for member in members:
+            # A voter goes once another stands for it; or at once where it was told to leave, as long as others stay.
+            spare = member.voter and (member in gone or member.name not in desired)
+            if spare and (member.name in ready and member in gone or all(n in ready for n in desired if n in newest)):
+                if sum(m.voter for m in members) > 1:
+                    return tuple(One(m.id, False, m.address, m.zone) if m is member else m for m in members)
+        return None
+
+    def caught_up(self, now: int, ident: str) -> bool:
+        peer = self.node.peers.get(ident)
+        return (peer is not None and peer.sure is not None and now - peer.heard_at < FRESH
+                and peer.match >= self.node.commit - BEHIND)
+
+    # Frames.
+
+    def heard(self, now: int, source: str, frame: AnyFrame) -> None:
+        """`source`: the id that its connection's Hello named."""
+        match frame:
+            case Hail():
+                self.hailed(now, frame)
+            case HailAnswer():
+                self.hail_answered(now, frame)
+            case Ask():
+                self.asked(now, source, frame)
+            case Grant():
+                self.granted(now, frame)
+            case Call():
+                def reply(ok: bool, body: Any) -> None:
+                    self.sends.append((source, Result(frame.number, ok, body)))
+                if self.leads:
+                    self.lead_call(now, frame.name, frame.args, reply)
+                else:
+                    reply(False, {"why": "not the leader", "again": True})
+            case Result():
+                waiting = self.calls.get(frame.number)
+                if waiting is not None and not (isinstance(frame.body, dict) and frame.body.get("again")):
+                    del self.calls[frame.number]
+                    waiting.reply(frame.ok, frame.body)
+            case Word() if self.node is not None:
+                self.node.heard(now, source, frame)
+
+    # Calls.
+
+    def call(self, now: int, name: str, args: dict[str, Any], reply: Reply, span: int) -> None:
+        """`reply` is called once, within `span` nanoseconds. Asked again for as long: a command's ident makes that harmless."""
+        if len(self.calls) >= CALLS:
+            reply(False, {"why": "too many calls wait", "unsure": False})
+            return
+        self.numbers += 1
+        waiting = self.calls[self.numbers] = Waiting(name, args, reply, now + span)
+        self.pass_on(now, self.numbers, waiting)
+
+    def pass_on(self, now: int, number: int, waiting: Waiting) -> None:
+        if self.leads:
+            waiting.again_at = now + 4 * AGAIN
+            waiting.sent = True
+
+            def reply(ok: bool, body: Any) -> None:
+                if isinstance(body, dict) and body.get("again"):
+                    waiting.again_at = min(waiting.again_at, now + AGAIN)
+                elif self.calls.pop(number, None) is not None:
+                    waiting.reply(ok, body)
+            self.lead_call(now, waiting.name, waiting.args, reply)
+        elif self.leader:
+            waiting.again_at = now + AGAIN
+            waiting.sent = True
+            self.sends.append((self.leader, Call(number, waiting.name, waiting.args)))
+        else:
+            waiting.again_at = now + AGAIN // 5
+
+    def lead_call(self, now: int, name: str, args: dict[str, Any], reply: Reply) -> None:
+        try:
+            if name in ("status", "show", "history"):
+                self.node.read(now, ("call", name, reply))
+            elif name == "settled":
+                if len(self.settling) >= CALLS:
+                    raise Busy("too many calls wait")
+                self.settling.append((int(args["version"]), now + int(float(args.get("span", 5)) * SECOND), reply))
+            else:
+                self.lead_command(now, self.command(name, args), reply)
+        except Busy as error:
+            reply(False, {"why": str(error), "again": True})
+        except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
+            reply(False, {"why": f"{name}: {type(error).__name__} {error}", "unsure": False})
+
+    def command(self, name: str, args: dict[str, Any]) -> AnyCommand:
+        """Raises ValueError where it could never be carried out."""
+        kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew}
+        if name in ("join", "leave", "replace"):
+            return self.desire(name, args)
+        if name not in kinds:
+            raise ValueError("no such call")
+        command = kinds[name](**args)
+        return msgspec.convert(msgspec.to_builtins(command), type(command))
+
+    def desire(self, name: str, args: dict[str, Any]) -> state.Desire:
+        s, who = self.agreed.state, str(args["member"])
+        voters, left = list(s.voters), list(s.left)
+        if name == "join":
+            left = [n for n in left if n != who]
+            if args.get("voter") and who not in voters:
+                voters.append(who)
+        elif name == "leave":
+            voters, left = [n for n in voters if n != who], sorted({*left, who})
+        else:
+            other = str(args["other"])
+            if who not in voters:
+                raise ValueError(f"{who} is no voter; there are {', '.join(voters)}")
+            if not any(m.name == other for m in self.members):
+                raise ValueError(f"{other} is no member yet")
+            voters = [other if n == who else n for n in voters]
+            left = sorted({*left, who} - {other})
+        if not 1 <= len(voters) <= VOTERS or len(set(voters)) != len(voters):
+            raise ValueError(f"{len(voters)} voters; 1 to {VOTERS} are allowed")
+        return state.Desire(str(args["ident"]), str(args["by"]), int(args["at"]), voters, left)
+
+    def lead_command(self, now: int, command: AnyCommand, reply: Reply) -> None:
+        known = self.agreed.done.get(command.ident)
+        if known is not None:
+            self.answer(command, known, reply)
+            return
+        waiting = self.results.setdefault(command.ident, [])
+        waiting.append(reply)
+        if len(waiting) == 1:
+            try:
+                self.propose(now, command)
+            except Busy:
+                del self.results[command.ident]
+                raise
+
+    def answer(self, command: AnyCommand, result: tuple[bool, str], reply: Reply) -> None:
+        ok, why = result
+        if isinstance(command, state.Offer) and ok and why == "pending":
+            activated = self.agreed.done.get(f"activate:{command.ident}")
+            refused = self.agreed.done.get(f"refuse:{command.ident}")
+            if activated is None and refused is None:
+                self.results.setdefault(f"end:{command.ident}", []).append(reply)
+                return
+            ok, why = activated or (False, refused[1])
+        reply(ok, {"why": why, "version": self.agreed.state.version})
+
+    def look_settled(self, now: int) -> None:
+        waiting, self.settling = self.settling, []
+        for version, until, reply in waiting:
+            below = self.given.may_act_below(now, version, [m.id for m in self.members]) if self.given else []
+            if self.given and not below:
+                reply(True, {"version": version})
+            elif now >= until:
+                reply(False, {"why": "may act on an older version still: " + ", ".join(below), "unsure": False})
+            else:
+                self.settling.append((version, until, reply))
+
+    # What the owner carries out.
+
+    def take(self) -> Step | None:
+        if self.reborn:
+            return Step(reborn=self.reborn)
+        work = self.node.take() if self.node is not None else None
+        if work is not None and work.disowned:
+            return Step(reborn="it lacks what it had acknowledged: its folder was put back from an older copy, or lost a part")
+        step = Step(self.begin, work, self.sends)
+        self.sends, self.begin = [], None
+        if work is not None:
+            step.sends += work.words
+        return step if step.begin or work or step.sends else None
+
+    def written(self, now: int, work: Work) -> None:
+        self.node.written(now, work)
+        if self.leads != self.led_before:
+            self.led_before = self.leads
+            self.turned(now)
+
+    def apply(self, now: int, work: Work) -> None:
+        if work.install is not None and work.install.index > self.applied:
+            if work.install.data:
+                self.agreed = Agreed(work.install.data)
+            self.applied = work.install.index
+        for index, entry in work.agreed:
+            self.applied = index
+            if entry.kind == DATA:
+                self.apply_one(now, entry)
+        for token, index in work.reads:
+            self.confirmed(now, token)
+        self.show()
+        snapshot = self.node.log.snapshot
+        if self.applied - snapshot.index >= COMPACT or snapshot.index < 0 <= self.applied:
+            self.node.compact(self.applied, self.agreed.dump())
+        self.look_settled(now)
+
+    def apply_one(self, now: int, entry: Entry) -> None:
+        command, result = self.agreed.apply(entry.data)
+        if command is None:
+            raise Strange(result[1])
+        for reply in self.results.pop(command.ident, ()):
+            self.answer(command, result, reply)
+        if isinstance(command, state.Activate | state.Refuse):
+            for reply in self.results.pop(f"end:{command.offer}", ()):
+                ok, why = result
+                reply(ok and isinstance(command, state.Activate), {"why": why, "version": self.agreed.state.version})
+        if isinstance(command, state.Offer) and result[0] and self.agreed.state.pending:
+            self.ask_at = now       # says at once whether it can be read here
+
+    def confirmed(self, now: int, token: tuple) -> None:
+        """Nothing agreed before this was asked is missing here."""
+        match token:
+            case ("lease", member, number):
+                if self.given is None:
+                    return
+                self.given.grant(now, member)
+                grant = Grant(number, self.agreed.state.version)
+                if member == self.id:
+                    self.granted(now, grant)
+                else:
+                    self.sends.append((member, grant))
+            case ("replaced", hail):
+                if not any(m.id == hail.id for m in self.members):
+                    self.answer_hail(hail, replaced=True)
+            case ("call", name, reply):
+                reply(True, getattr(self, "tell_" + name)(now))
+
+    def show(self) -> None:
+        """A view for the deciding thread, if it is another than the last."""
+        s = self.agreed.state
+        if self.applied < 0 or self.viewed == (s.version,):
+            return
+        self.viewed = (s.version,)
+        self.views.append(View(s.version, s.settings_version, s.settings, tuple(s.out), s.list_version, tuple(s.servers)))
+
+    # What it tells.
+
+    def tell_show(self, now: int) -> dict[str, Any]:
+        s = self.agreed.state
+        return {"version": s.version, "settings_version": s.settings_version, "settings": s.settings, "out": s.out,
+                "list_generation": s.list_generation, "list_version": s.list_version, "servers": s.servers,
+                "pending": msgspec.to_builtins(s.pending), "kept": s.kept}
+
+    def tell_history(self, now: int) -> dict[str, Any]:
+        return {"history": [msgspec.to_builtins(record) for record in self.agreed.state.history]}
+
+    def tell_status(self, now: int) -> dict[str, Any]:
+        s, members = self.agreed.state, []
+        for m in self.members:
+            peer = self.node.peers.get(m.id)
+            acts, since = self.acting.get(m.id, (None, now))
+            members.append({
+                "id": m.id, "name": m.name, "voter": m.voter, "address": m.address, "zone": m.zone,
+                "leads": m.id == self.id, "acts_on": acts, "since_s": round((now - since) / SECOND, 1),
+                "lapsed": self.given.lapsed(now, m.id) if self.given else None,
+                "heard_s": 0.0 if peer is None else round((now - peer.heard_at) / SECOND, 1),
+                "behind": 0 if peer is None else self.node.log.last - peer.match, "wipes": self.wiped.get(m.id, 0)})
+        return {"group": self.group, "leader": self.id, "term": self.node.term, "index": self.node.commit,
+                "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
+                "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
+                "pending": msgspec.to_builtins(s.pending), "members": members}
--- /dev/null
+++ b/cypresswalk/fleet/words.py
@@ -0,0 +1,134 @@
+"""What balancers of a fleet, and its tools, say to each other beside the words of agreement, and the frames they stand in.
+
+A frame is u32 little-endian length, then MessagePack. The first on a connection is a Hello; what does not fit ends the
+connection and is counted. No frame is longer than LARGEST; a connection carries words one way, from who dialled, except that a
+Hello may be answered by Refused and a tool's Call by Result."""
+
+import struct
+from typing import Any
+
+import msgspec
+
+from cypresswalk.agreement.words import (Append, AppendAnswer, Disowned, Members, Piece, PieceAnswer, TakeOver, Vote, VoteAnswer,
+                                         Word)
+
+PROTOCOL = 1
+LARGEST = 8 << 20           # an append or piece and its envelope take 300 KB; a list of 20,000 servers 3 MB
+HEAD = struct.Struct("<I")
+
+
+class Hello(Word, frozen=True):
+    """`to` is whom the dialler means; empty where it does not know."""
+    protocol: int
+    fleet: str
+    kind: str           # "member" or "tool"
+    group: str
+    id: str
+    boot: int
+    life: int           # drawn at each start
+    address: str
+    to: str
+
+
+class Refused(Word, frozen=True):
+    """`code`: "fleet", "protocol", "group", "replaced", "fenced", "full", "twice"."""
+    code: str
+    why: str
+
+
+class Hail(Word, frozen=True):
+    """By one that belongs to no group yet, or lost it."""
+    id: str
+    group: str
+    address: str
+    zone: str
+    first: str          # of the first members, as its table has them
+    founder: bool       # one of them
+
+
+class HailAnswer(Word, frozen=True):
+    id: str
+    group: str          # empty for one that belongs to none itself
+    first: str
+    members: Members
+    leader: str
+    refused: str
+    replaced: bool      # the leader, sure to lead still: this id is no member of its group (any more)
+    fenced: list[str]   # groups that its own took the place of, by an operator's word
+
+
+class Found(Word, frozen=True):
+    """The group begins with these, if its receiver belongs to none."""
+    group: str
+    members: Members
+
+
+class Ask(Word, frozen=True):
+    """For a lease, and what its sender has to tell the leader meanwhile."""
+    number: int
+    version: int        # that it acts on
+    offer: str          # the pending one it has looked at
+    objection: str      # why it can't read that, or empty
+    generation: int     # of the list that it was told by its own agent
+    digest: bytes
+    wipes: int          # how often its folder was found damaged or put back
+
+
+class Grant(Word, frozen=True):
+    number: int
+    version: int
+
+
+class Call(Word, frozen=True):
+    number: int
+    name: str
+    args: dict[str, Any]
+
+
+class Result(Word, frozen=True):
+    number: int
+    ok: bool
+    body: Any
+
+
+AnyFrame = (Hello | Refused | Hail | HailAnswer | Found | Ask | Grant | Call | Result | Vote | VoteAnswer | Append | AppendAnswer
+            | Piece | PieceAnswer | TakeOver | Disowned)
+frames = msgspec.msgpack.Decoder(AnyFrame)
+encode = msgspec.msgpack.encode
+
+
+class FrameError(Exception):
+    """What came is no frame; the message says why."""
+
+
+def pack(frame: AnyFrame) -> bytes:
+    data = encode(frame)
+    if len(data) > LARGEST:
+        raise FrameError(f"{len(data)} bytes, more than {LARGEST}")
+    return HEAD.pack(len(data)) + data
+
+
+class Frames:
+    """Is fed bytes as they come, gives whole frames. Memory stays under one longest frame and one read."""
+
+    def __init__(self, largest: int = LARGEST):
+        self.buffer, self.largest = bytearray(), largest
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def frame(self) -> AnyFrame | None:
+        """Raises FrameError, after which nothing that follows can be believed."""
+        if len(self.buffer) < HEAD.size:
+            return None
+        length, = HEAD.unpack_from(self.buffer)
+        if length > self.largest:
+            raise FrameError(f"a frame of {length} bytes")
+        if len(self.buffer) < HEAD.size + length:
+            return None
+        data = bytes(self.buffer[HEAD.size:HEAD.size + length])
+        del self.buffer[:HEAD.size + length]
+        try:
+            return frames.decode(data)
+        except (msgspec.DecodeError, RecursionError, ValueError) as error:
+            raise FrameError(str(error)) from None
--- a/cypresswalk/net/calls.py
+++ b/cypresswalk/net/calls.py
@@ -8,7 +8,7 @@
 from cypresswalk.net.lines import NAME, Lines, ProtocolError
 
 PLAIN = frozenset((b"check", b"vars", b"drain-on", b"drain-off"))
-WITH_ID = frozenset((b"set-down", b"set-up"))
+WITH_ID = frozenset((b"set-down", b"set-up", b"set-down-here", b"set-up-here"))     # the latter: where balancers agree
 
 
 @dataclass(slots=True)
--- a/cypresswalk/net/clients.py
+++ b/cypresswalk/net/clients.py
@@ -78,7 +78,7 @@
                 # A client waits for its answer: guards against commands by the hundred.
                 raise ProtocolError("more than one line at once")
             elif line == b"PING":
-                self.link.send(b"PONG\r\n" if self.core.ready else FAILED)
+                self.link.send(b"PONG\r\n" if self.core.ready and self.core.may_act() else FAILED)
             else:
                 first = opening(line)
                 with self.passing:
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -10,7 +10,7 @@
 
 from cypresswalk.choice import Balancer
 from cypresswalk.hosting import current, nanoseconds, pack_hint, unpack_hint
-from cypresswalk.model import (SECOND, Abort, Connect, Flow, ListForm, Move, Outcome, Probe, Reject, Server,
+from cypresswalk.model import (SECOND, Abort, Connect, Effect, Flow, ListForm, Move, Outcome, Probe, Reject, Server,
                                State, Subscribe, Tell, Wake)
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config
@@ -122,6 +122,9 @@
         self.departures = 0             # rounds of moving all clients; a new one, or a call back, ends the one before
         self.figures = Figures(self.service_types)
         self.side = None                # what stands beside this process, where operators upgrade it under load
+        self.agreement = None           # what balancers have agreed, where they do (cypresswalk/fleet/)
+        self.lease: Callable[[], bool] | None = None        # there: whether this one may act now. Asked at each decision,
+        # not by a timer: guards against a process that was frozen and wakes with a queue full of work.
         self.drained = False            # by hand; stays so over an upgrade
         self.stopped = False
         self.hear(now)
@@ -165,6 +168,10 @@
             self.counters.add("flows_beyond_sockets")
             self.end(now, session, BUSY)
             return
+        if not self.may_act():
+            self.counters.add("flows_without_lease")
+            self.end(now, session, self.come_back(flow))
+            return
         self.sessions[flow] = session
         self.balancer.arrived(now, flow)
 
@@ -179,7 +186,7 @@
         if session.over or session.leg is not None:
             return
         server = self.balancer.servers.get(server_number(session.opening.values["at"]))
-        if server is None or server.state is State.GONE or server.barred:
+        if server is None or server.state is State.GONE or server.barred or not self.may_act():
             self.at(now + self.limits.resume_retry, self.resume, session)
             return
         self.connect(now, session, server, 0, now + self.limits.resume)
@@ -263,6 +270,8 @@
 
     def listed(self, now: int, form: ListForm, entries: list[tuple[Server, Address]], older: bool = False) -> None:
         self.counters.add("lists")
+        if self.agreement is not None:
+            form, entries = self.agreement.listed(now, form, entries)
         if older:
             entries = [entry for entry in entries if not self.withhold(now, *entry)]
         for server, address in entries:
@@ -277,6 +286,22 @@
         here = self.phase is Phase.SERVING or self.phase is Phase.LEAVING and beside and not self.drained
         self.ready = here and self.placeable() > 0
 
+    def may_act(self) -> bool:
+        return self.lease is None or self.lease()
+
+    def come_back(self, flow: Flow) -> bytes:
+        """A reject that tells when, where that is allowed. Nothing of the flow has run."""
+        settings = self.balancer.settings
+        wait = min(flow.type.setup_target, settings.max_retry_after) if settings.retry_after else 0
+        return b"BUSY %d\r\n" % (wait // MILLISECOND) if wait else BUSY
+
+    def unleased(self, now: int, flow: Flow) -> None:
+        """The module has chosen a server, on rules that others may act on no more: the flow is answered at once."""
+        self.counters.add("flows_without_lease")
+        harmless = flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE
+        self.balancer.left(now, flow)
+        self.end(now, self.sessions.pop(flow), self.come_back(flow) if harmless else FAILED)
+
     def succeeded(self) -> bool:
         """Another process takes this one's clients already, at the same door."""
         return self.side is not None and self.side.succeeded
@@ -353,6 +378,8 @@
             return
         while (decision := self.balancer.decide(now)) is not None:
             match decision:
+                case Connect(flow) if not self.may_act():
+                    self.unleased(now, flow)
                 case Connect(flow, server, timeout):
                     until = min(now + timeout, flow.until) if timeout else flow.until
                     self.connect(now, self.sessions[flow], server, len(flow.tried) - 1, until)
@@ -472,6 +499,8 @@
         if call.name == "vars":
             call.answers.put(self.figures.text(now, self))
             return
+        if self.agreement is not None and self.agreement.takes(now, call):
+            return
         why = self.obey(now, call)
         if call.name == "check" or self.side is None or not self.side.forward(now, call, why):
             self.reply(call, why)
@@ -487,9 +516,12 @@
         match call.name:
             case "check":
                 beside = self.phase is Phase.STARTING and self.side.informed and not self.drained
-                if (beside or self.phase is Phase.SERVING) and self.placeable():
+                if (beside or self.phase is Phase.SERVING) and self.placeable() and self.may_act():
                     return None
-                return f"{self.phase.value}, {self.placeable()} servers to place flows on"
+                return (f"{self.phase.value}, {self.placeable()} servers to place flows on"
+                        + ("" if self.may_act() else ", no lease of the fleet's"))
+            case "set-down-here" | "set-up-here" if self.agreement is None:
+                return "balancers agree on nothing here; set-down and set-up are this one's alone"
             case "drain-on" | "drain-off" if self.phase is Phase.LEAVING:
                 return None if forwarded or self.side is not None and self.side.other else "this process is leaving"
             case "drain-on" | "drain-off" if self.phase is Phase.STARTING:
@@ -502,7 +534,7 @@
                 self.phase, self.close_at, self.drained = Phase.SERVING, None, False
                 self.departures += 1
                 self.settle()
-            case "set-down" | "set-up":
+            case "set-down" | "set-up" | "set-down-here" | "set-up-here":
                 number = server_number(call.server)
                 if number not in self.balancer.servers:
                     if not known:
@@ -510,7 +542,7 @@
                     # The other process knows it already; until this one's list names it, it is gone and out.
                     self.balancer.listed(now, ListForm.DELTA, [Server(id=number, state=State.GONE)])
                 server = self.balancer.servers[number]
-                self.bar(now, server) if call.name == "set-down" else self.unbar(now, server)
+                self.bar(now, server) if call.name.startswith("set-down") else self.unbar(now, server)
         return None
 
     def placeable(self) -> int:
--- a/cypresswalk/net/handover.py
+++ b/cypresswalk/net/handover.py
@@ -57,7 +57,8 @@
     """All that this process knows, as the other reads it. Times are this clock's, whose `now` is told beside them."""
     balancer = core.balancer
     list_address, version = drivers.list_at()
-    yield {"state": {"now": now, "list": list_address, "version": version, "drained": core.drained,
+    agreed = {} if core.agreement is None else {"agreed": core.agreement.handed()}
+    yield {"state": agreed | {"now": now, "list": list_address, "version": version, "drained": core.drained,
                      "started": balancer.started, "sums": {name: fading(getattr(balancer, name)) for name in OWN_SUMS}}}
     told = [server_told(server, core, drivers) for server in balancer.servers.values() if server.id in core.addresses]
     for start in range(0, len(told), CHUNK):
@@ -211,6 +212,8 @@
             case {"end": _} if self.told is not None and self.younger:
                 told, self.told = self.told, None
                 believe(now, self.core, self.drivers, told)
+                if self.core.agreement is not None and "agreed" in told.state:
+                    self.core.agreement.inherit(now, told.state["agreed"])
                 self.core.drained = told.state.get("drained") is True
                 self.informed = True
             case {"yours": _} if self.younger:
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -58,6 +58,7 @@
                                sockets[1] if len(sockets) > 1 else None)
         self.listener = Listener(config.listen, self.core, self.inbox, self.limits, shared, sockets[0] if sockets else None)
         self.keeper = None
+        self.binding = None
 
     def operate(self, config: Config) -> list[socket.socket]:
         """Operators may call and upgrade it; the sockets that a process before this one has passed on, if there is one.
@@ -80,8 +81,15 @@
         # A list that knows less than this balancer was told in its life before is an older one.
         self.watch.floor = self.keeper.floor
 
+    def join_fleet(self, table: object, config: Config) -> None:
+        """Imported here alone: the platform's balancer has nobody to agree with, and no disk."""
+        from cypresswalk.fleet.binding import Binding
+        self.binding = Binding(table, config, self.core, self.inbox.post, lambda: self.watch.registry)
+
     def run(self) -> None:
         pause = self.limits.fault_pause
+        if self.binding is not None:
+            self.binding.fleet.start()
         if self.admin is not None and self.elder is not None:
             self.elder.start(self.core.side)
         else:
@@ -129,6 +137,11 @@
             log.error(event("fault", call=call.__qualname__), exc_info=True)
             time.sleep(self.limits.fault_pause / SECOND)
 
+    def stop(self, now: int) -> None:
+        if self.binding is not None:
+            self.binding.fleet.leave()
+        self.core.stop(now)
+
     def reload(self, now: int) -> None:
         """The list comes from where the file says now; what runs stays. A file that can't be used changes nothing."""
         try:
@@ -166,6 +179,8 @@
         if self.peers is not None:
             self.peers.reading = False
         self.prober.end()
+        if self.binding is not None:
+            self.binding.fleet.stop()
 
     def list_at(self) -> tuple[str, int]:
         return "%s:%d" % self.watch.address, self.watch.registry.version
@@ -226,6 +241,8 @@
         raise ConfigError(f"PROXY_OPERATOR {refusal}") from None
     if asked.state is not None:
         program.keep_state(asked.state.folder, asked.state.every_s, config)
+    if asked.fleet is not None:
+        program.join_fleet(asked.fleet, config)
 
 
 def main(policy: type[Balancer] = Balancer, core: Callable[..., Core] = Core) -> int:
@@ -248,7 +265,7 @@
         print(f"cypresswalk: {error}", file=sys.stderr)
         return 1
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: program.inbox.post(program.core.stop))
+        signal.signal(number, lambda *_: program.inbox.post(program.stop))
     signal.signal(signal.SIGHUP, lambda *_: program.inbox.post(program.reload))
     signal.signal(signal.SIGUSR1, lambda *_: program.inbox.post(program.report))
     log.info(event("start", listen="%s:%d" % config.listen, servers=len(program.core.balancer.servers),
--- a/cypresswalk/state/disk.py
+++ b/cypresswalk/state/disk.py
@@ -64,9 +64,17 @@
             return reader.read(most)
 
     def write(self, name: str, data: bytes) -> None:
+        """Created or emptied, written, flushed."""
+        self.put(name, data, os.O_CREAT | os.O_TRUNC)
+
+    def add(self, name: str, data: bytes) -> None:
+        """At the end of a file that is there, flushed."""
+        self.put(name, data, os.O_APPEND)
+
+    def put(self, name: str, data: bytes, how: int) -> None:
         folder = self.folder()
         try:
-            flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_NOFOLLOW | os.O_NONBLOCK | os.O_CLOEXEC
+            flags = os.O_WRONLY | how | os.O_NOFOLLOW | os.O_NONBLOCK | os.O_CLOEXEC
             file = os.open(name, flags, 0o600, dir_fd=folder)
         finally:
             os.close(folder)
@@ -78,6 +86,13 @@
                 rest = rest[writer.write(rest[:1 << 18]):]
             os.fsync(file)
 
+    def inode(self, name: str) -> int:
+        folder = self.folder()
+        try:
+            return os.stat(name, dir_fd=folder, follow_symlinks=False).st_ino
+        finally:
+            os.close(folder)
+
     def rename(self, name: str, to: str) -> None:
         folder = self.folder()
         try:
--- /dev/null
+++ b/tests/planted.py
@@ -0,0 +1,111 @@
+"""Mistakes for the explorer to find: each takes one guard out of the program."""
+
+from cypresswalk.agreement.node import Node, Role
+from cypresswalk.agreement.store import Store
+from cypresswalk.fleet.driver import Fleet
+from cypresswalk.fleet.leases import Given
+from cypresswalk.fleet.member import Member
+
+
+def vote_not_flushed(patch):
+    write = Store.write
+
+    def careless(self, work):
+        work.vote = work.vote if work.snapshot is not None else None
+        write(self, work)
+    patch.setattr(Store, "write", careless)
+
+
+def answer_before_the_flush(patch):
+    carry_out = Fleet.carry_out
+
+    def early(self, member):
+        take = member.take
+
+        def taken():
+            step = take()
+            if step is not None and step.work is not None:
+                for to, frame in step.sends:
+                    self.send(member, to, frame)
+                step.sends = []
+            return step
+        member.take = taken
+        try:
+            carry_out(self, member)
+        finally:
+            del member.take
+    patch.setattr(Fleet, "carry_out", early)
+
+
+def lease_from_the_answer(patch):
+    def granted(self, now, grant):
+        if grant.number in self.held.out:
+            self.held.out[grant.number] = now
+        self.held.granted(grant.number, grant.version)
+    patch.setattr(Member, "granted", granted)
+
+
+def lease_without_a_round(patch):
+    read = Node.read
+
+    def at_once(self, now, token):
+        read(self, now, token)
+        if self.reads and self.reads[-1][0] is token:
+            self.reads.pop()
+            self.work.reads.append((token, self.commit))
+    patch.setattr(Node, "read", at_once)
+
+
+def lapsed_without_waiting(patch):
+    patch.setattr(Given, "lapsed", lambda self, now, member: now >= self.granted_at.get(member, 0) + self.span // 4)
+
+
+def wiped_voter_under_its_name(patch):
+    def blank(self):
+        self.boot, self.life = self.starts_of_it, self.chance.getrandbits(63)
+        self.make(f"{self.table.name}#0", "", None)
+    patch.setattr(Fleet, "blank", blank)
+    patch.setattr(Fleet, "starts_of_it", property(lambda self: self.process.starts), raising=False)
+
+
+def followers_are_counted(patch):
+    def counted(self, now, source, granted):
+        self.votes[source] = granted
+        if sum(self.votes.values()) >= self.majority(len(self.voters)):
+            self.campaign(now) if self.role is Role.ASKING else self.take_lead(now)
+    patch.setattr(Node, "counted", counted)
+    patch.setattr(Node, "call", lambda self, word: [self.say(m.id, word) for m in self.log.members if m.id != self.me])
+
+
+def removed_member_is_counted(patch):
+    """A change of members counts once it is agreed, not as soon as it stands in the log."""
+    patch.setattr(Node, "voters", property(lambda self: [m.id for m in self.log.members_at(self.commit) if m.voter]))
+
+
+def failed_flush_is_forgotten(patch):
+    write = Store.write
+
+    def careless(self, work):
+        try:
+            write(self, work)
+        except OSError:
+            self.broken = False
+    patch.setattr(Store, "write", careless)
+
+
+def put_back_folder_is_believed(patch):
+    patch.setattr(Store, "check_witness", lambda self, file: None)
+
+
+def logs_not_compared(patch):
+    """A vote goes to whoever asks first, however little it has."""
+    asked = Node.asked_to_vote
+
+    def careless(self, now, source, word):
+        asked(self, now, source, type(word)(word.term, 1 << 60, 1 << 60, word.early, word.forced))
+    patch.setattr(Node, "asked_to_vote", careless)
+
+
+PLANTED = [vote_not_flushed, answer_before_the_flush, lease_from_the_answer, lease_without_a_round, lapsed_without_waiting,
+           wiped_voter_under_its_name, followers_are_counted, removed_member_is_counted, failed_flush_is_forgotten,
+           put_back_folder_is_believed, logs_not_compared]
