Commands for what balancers have agreed: fleet status, settings, server, join, replace, recover

Need: an operator's way to see and change what the fleet agrees on, and out when most voters are lost. A tool asks any balancer over the fleet's own port; an answer that never comes is said to be unsure (exit 4), not a no.

--- /dev/null
+++ b/cypresswalk/cli/fleet.py
@@ -0,0 +1,285 @@
+"""`cypresswalk fleet`: what balancers have agreed, for people."""
+
+import difflib
+import json
+import os
+from typing import Any
+
+import click
+
+from cypresswalk.refusal import Refusal
+
+UNSURE = 4
+
+
+class Asked:
+    def __init__(self, addresses: list[str], fleet: str, span: float):
+        self.addresses, self.fleet, self.span = addresses, fleet, span
+
+    def call(self, name: str, args: dict[str, Any] | None = None) -> Any:
+        """The body of a yes. Raises Refusal with the reason for a no."""
+        from cypresswalk.fleet import tool
+        try:
+            ok, body = tool.call(self.addresses, self.fleet, name, args, self.span)
+        except tool.Unsure as error:
+            raise click.exceptions.Exit(said_unsure(str(error))) from None
+        if not ok:
+            raise Refusal(str(body.get("why", body) if isinstance(body, dict) else body))
+        return body
+
+    def command(self, name: str, **args: Any) -> Any:
+        from cypresswalk.fleet import tool
+        return self.call(name, tool.command(tool.who(), **args))
+
+
+def said_unsure(why: str) -> int:
+    click.echo(f"unsure: {why}\nIt may or may not come into force. `cypresswalk fleet settings show` and `fleet status` tell.", err=True)
+    return UNSURE
+
+
+@click.group()
+@click.option("--operator", envvar="PROXY_OPERATOR", help="An operator file with [fleet]: whom to ask, of which fleet.")
+@click.option("--at", metavar="HOST:PORT[,HOST:PORT...]", help="Whom to ask, in place of those in the operator file.")
+@click.option("--fleet", "name", help="Its name, with --at.")
+@click.option("--seconds", default=5.0, show_default=True, help="How long to wait for an answer.")
+@click.pass_context
+def fleet(context: click.Context, operator: str | None, at: str | None, name: str | None, seconds: float) -> None:
+    """Asks and tells balancers that agree (docs/operators/fleet.md).
+
+    Exit codes: 0 done, 2 refused or nobody could be asked, 4 no answer: it may or may not come into force."""
+    if context.invoked_subcommand == "recover":
+        return
+    if at:
+        if not name:
+            raise Refusal("--fleet: the fleet's name is needed with --at")
+        context.obj = Asked([part.strip() for part in at.split(",")], name, seconds)
+        return
+    if not operator:
+        raise Refusal("--operator or --at: whom to ask")
+    from cypresswalk import operator as operators
+    table = operators.read(operator).fleet
+    if table is None:
+        raise Refusal(f"{operator}: it has no [fleet]")
+    addresses = [table.address, *(where for where in table.first.values() if where != table.address)]
+    context.obj = Asked(addresses, table.fleet, seconds)
+
+
+@fleet.command()
+@click.option("--json", "plain", is_flag=True, help="As JSON.")
+@click.pass_obj
+def status(asked: Asked, plain: bool) -> None:
+    """Members, leader, versions and since when each acts on which, leases, who is behind, who lost its disk."""
+    body = asked.call("status")
+    if plain:
+        click.echo(json.dumps(body, indent=1))
+        return
+    click.echo(f"group {body['group']}  leader {body['leader'].partition('#')[0]}  term {body['term']}  version {body['version']}"
+               f"  settings of version {body['settings_version']}  list {body['list_generation']}")
+    if body["pending"]:
+        click.echo(f"pending: an offer by {body['pending'][1]}")
+    for name, (by, at) in sorted(body["out"].items()):
+        click.echo(f"server {name} is out, by {by}")
+    for m in sorted(body["members"], key=lambda m: (not m["voter"], m["name"])):
+        acts = "acts on nothing yet" if m["acts_on"] is None else f"acts on {m['acts_on']} for {m['since_s']:.1f} s"
+        marks = [text for text, on in (("leads", m["leads"]), ("no lease", m["lapsed"]), (f"{m['behind']} entries behind", m["behind"] > 0),
+                                       (f"unheard for {m['heard_s']:.1f} s", m["heard_s"] > 2),
+                                       (f"gave up its identity {m['wipes']} times", m["wipes"])) if on]
+        click.echo(f"  {m['name']:<16} {'voter' if m['voter'] else 'follows':<8} {m['zone'] or '-':<8} {m['address']:<22} {acts}"
+                   + (f"  ({', '.join(marks)})" if marks else ""))
+
+
+@fleet.command()
+@click.pass_obj
+def local(asked: Asked) -> None:
+    """What the balancer asked knows by itself, for when the fleet can't agree."""
+    click.echo(json.dumps(asked.call("local"), indent=1))
+
+
+@fleet.group()
+def settings() -> None:
+    """The settings that all act on: check, offer, show, diff, history, back."""
+
+
+def loaded(path: str) -> dict[str, Any]:
+    """The shared part of a balancer's configuration, or a file of that part alone. Raises Refusal."""
+    from cypresswalk.fleet.binding import SHARED, shared
+    try:
+        with open(path, "rb") as file:
+            data = json.load(file)
+    except (OSError, ValueError, RecursionError) as error:
+        raise Refusal(f"{path}: {error}") from None
+    if not isinstance(data, dict):
+        raise Refusal(f"{path}: not an object")
+    if isinstance(data.get("settings"), dict):
+        return shared(data["settings"])
+    if unknown := sorted(set(data) - set(SHARED)):
+        raise Refusal(f"{path}: {', '.join(unknown)}: not among what the fleet agrees on ({', '.join(SHARED)})")
+    return data
+
+
+def text(value: Any) -> list[str]:
+    return json.dumps(value, indent=1, sort_keys=True).splitlines()
+
+
+def of_version(asked: Asked, number: int | None) -> tuple[int, dict[str, Any]]:
+    body = asked.call("show")
+    if number is None:
+        return body["settings_version"], body["settings"]
+    for version, values in body["kept"]:
+        if version == number:
+            return version, values
+    raise Refusal(f"version {number}: no settings of that version are kept; there are "
+                  + ", ".join(str(version) for version, _ in body["kept"]))
+
+
+@settings.command()
+@click.argument("file")
+@click.option("--config", envvar="PROXY_CONFIG", help="A balancer's configuration to check it with; none: the file's own form alone.")
+def check(file: str, config: str | None) -> None:
+    """Whether a balancer with this configuration could act on them."""
+    values = loaded(file)
+    if config:
+        from cypresswalk.fleet.binding import objection
+        from cypresswalk.net.config import ConfigError, read
+        try:
+            why = objection(read(config)["settings"], values)
+        except (ConfigError, KeyError) as error:
+            raise Refusal(f"{config}: {error}") from None
+        if why:
+            raise Refusal(f"{file}: {why}")
+    click.echo("sound")
+
+
+@settings.command()
+@click.argument("file")
+@click.option("--on", "base", type=int, help="The version that it was made on; none: the newest now.")
+@click.pass_obj
+def offer(asked: Asked, file: str, base: int | None) -> None:
+    """Makes them the newest, if nobody has changed the settings since, and every balancer can read them."""
+    values = loaded(file)
+    if base is None:
+        base = of_version(asked, None)[0]
+    click.echo(asked.command("offer", base=base, settings=values)["why"])
+
+
+@settings.command()
+@click.option("--version", "number", type=int, help="An older one.")
+@click.pass_obj
+def show(asked: Asked, number: int | None) -> None:
+    """The settings in force, as JSON that `offer` takes."""
+    version, values = of_version(asked, number)
+    click.echo(f"version {version}", err=True)
+    click.echo("\n".join(text(values)))
+
+
+@settings.command()
+@click.argument("file")
+@click.option("--version", "number", type=int, help="Against an older one.")
+@click.pass_obj
+def diff(asked: Asked, file: str, number: int | None) -> None:
+    """What a file would change."""
+    version, values = of_version(asked, number)
+    for line in difflib.unified_diff(text(values), text(loaded(file)), f"version {version}", file, lineterm="", n=2):
+        click.echo(line)
+
+
+@settings.command()
+@click.pass_obj
+def history(asked: Asked) -> None:
+    """Who did what when, the newest last."""
+    from datetime import datetime
+    for version, by, at, what in asked.call("history")["history"]:
+        when = datetime.fromtimestamp(at / 1000).isoformat(" ", "seconds") if at else "-"
+        click.echo(f"{version:>6}  {when:<19}  {by}: {what}")
+
+
+@settings.command()
+@click.argument("version", type=int)
+@click.pass_obj
+def back(asked: Asked, version: int) -> None:
+    """Makes older settings the newest."""
+    _, values = of_version(asked, version)
+    click.echo(asked.command("offer", base=of_version(asked, None)[0], settings=values)["why"])
+
+
+@fleet.group()
+def server() -> None:
+    """Servers out by hand, for all balancers."""
+
+
+def taken(asked: Asked, name: str, ident: str) -> None:
+    """The yes means that every balancer acts on it, or may act no more."""
+    body = asked.command(name, server=ident)
+    asked.call("settled", {"version": body["version"]})
+    click.echo(f"{ident} is {'out' if name == 'out' else 'back'} at every balancer (version {body['version']})")
+
+
+@server.command()
+@click.argument("ident")
+@click.pass_obj
+def down(asked: Asked, ident: str) -> None:
+    """Takes it out at every balancer; after the yes nothing new goes there and it may be switched off once it is empty."""
+    taken(asked, "out", ident)
+
+
+@server.command()
+@click.argument("ident")
+@click.pass_obj
+def up(asked: Asked, ident: str) -> None:
+    """Puts it back at every balancer."""
+    taken(asked, "back", ident)
+
+
+@fleet.command()
+@click.argument("member")
+@click.option("--voter", is_flag=True, help="It is to vote.")
+@click.pass_obj
+def join(asked: Asked, member: str, voter: bool) -> None:
+    """Lets a balancer in that had left, or makes one a voter."""
+    asked.command("join", member=member, voter=voter)
+    click.echo(f"{member} may join" + (", and votes once it has caught up" if voter else ""))
+
+
+@fleet.command()
+@click.argument("member")
+@click.pass_obj
+def leave(asked: Asked, member: str) -> None:
+    """Takes a balancer out of the fleet for good."""
+    asked.command("leave", member=member)
+    click.echo(f"{member} leaves")
+
+
+@fleet.command()
+@click.argument("member")
+@click.argument("other")
+@click.pass_obj
+def replace(asked: Asked, member: str, other: str) -> None:
+    """Has another member vote in the place of one that is gone."""
+    asked.command("replace", member=member, other=other)
+    click.echo(f"{other} votes in the place of {member} once it has caught up")
+
+
+@fleet.command("list-anew")
+@click.pass_obj
+def list_anew(asked: Asked) -> None:
+    """The list's source begins its versions anew: the next list that most voters were told counts, whatever its number."""
+    asked.command("renew")
+    click.echo("the next list counts")
+
+
+@fleet.command()
+@click.argument("folder")
+@click.option("--fleet", "name", required=True, help="The fleet's name.")
+@click.option("--name", "member", required=True, help="The balancer whose folder it is; it must not run.")
+@click.option("--yes", is_flag=True, help="Do not ask.")
+def recover(folder: str, name: str, member: str, yes: bool) -> None:
+    """Most voters are lost for good: begins a new group from this one's folder and fences the old group off.
+
+    What only the lost ones had is lost. Never while most voters of the old group may still run somewhere: both groups would act."""
+    from cypresswalk.fleet import tool
+    if not yes:
+        click.echo("The members of the old group that still run will give up what they have and join this one. If most voters of the\n"
+                   "old group run on somewhere, two groups act side by side, and rules of both are in force at once.")
+        click.confirm("Are most voters lost for good?", abort=True)
+    done = tool.recover(os.path.abspath(folder), name, member, tool.who())
+    click.echo(json.dumps(done, indent=1))
--- /dev/null
+++ b/cypresswalk/fleet/tool.py
@@ -0,0 +1,107 @@
+"""What the commands do: a call to any balancer of the fleet, and the way out when most voters are lost for good."""
+
+import os
+import socket
+import time
+import uuid
+from typing import Any
+
+from cypresswalk.agreement.log import Snapshot
+from cypresswalk.agreement.node import Kept
+from cypresswalk.agreement.store import Damaged, Foreign, Life, Store
+from cypresswalk.agreement.words import DATA, Member as One
+from cypresswalk.fleet.agreed import Agreed, Record
+from cypresswalk.fleet.words import PROTOCOL, AnyFrame, Call, FrameError, Frames, Hello, Refused, Result, pack
+from cypresswalk.refusal import Refusal
+from cypresswalk.state.disk import Disk
+
+RECOVERED = 1000        # versions skipped, so that none of the new group has the number of one that the old one had in force
+DIAL = 1.0
+
+
+class Unsure(Exception):
+    """What was asked for may or may not come into force; `show` tells."""
+
+
+def call(addresses: list[str], fleet: str, name: str, args: dict[str, Any] | None = None, span: float = 5.0) -> tuple[bool, Any]:
+    """Asks the first that answers, whichever it is: it passes on to the leader. Raises Refusal where nobody could be asked, Unsure
+    where one was asked and no answer came."""
+    said, sent = [], False
+    until = time.monotonic() + span
+    for where in addresses:
+        left = until - time.monotonic()
+        if left <= 0:
+            break
+        host, _, port = where.rpartition(":")
+        try:
+            with socket.create_connection((host, int(port)), timeout=min(DIAL, left)) as sock:
+                hello = Hello(PROTOCOL, fleet, "tool", "", f"tool#{uuid.uuid4().hex[:8]}", 0, 0, "", "")
+                sock.sendall(pack(hello) + pack(Call(1, name, (args or {}) | {"span": max(left - 0.2, 0.2)})))
+                sent = True
+                sock.settimeout(left + 1.0)
+                frame = first(sock)
+        except (OSError, FrameError) as error:
+            said.append(f"{where}: {error}")
+            continue
+        if isinstance(frame, Refused):
+            said.append(f"{where}: {frame.why}")
+            continue
+        if isinstance(frame.body, dict) and frame.body.get("unsure"):
+            raise Unsure(str(frame.body.get("why")))
+        return frame.ok, frame.body
+    if sent and name not in ("status", "show", "history", "local", "settled"):
+        raise Unsure("no answer: " + "; ".join(said))
+    raise Refusal("no balancer of the fleet answers: " + "; ".join(said))
+
+
+def first(sock: socket.socket) -> Result | Refused:
+    frames = Frames()
+    while True:
+        data = sock.recv(1 << 16)
+        if not data:
+            raise ConnectionResetError("the balancer ended the connection")
+        frames.feed(data)
+        frame: AnyFrame | None = frames.frame()
+        if isinstance(frame, Result | Refused):
+            return frame
+
+
+def command(by: str, **args: Any) -> dict[str, Any]:
+    return {"ident": uuid.uuid4().hex, "by": by, "at": time.time_ns() // 1_000_000} | args
+
+
+def who() -> str:
+    return os.environ.get("SUDO_USER") or os.environ.get("USER") or f"uid {os.getuid()}"
+
+
+def recover(folder: str, fleet: str, name: str, by: str) -> dict[str, Any]:
+    """Begins a new group from what one member of the old one has on disk: all that it has, agreed or not, since what it does not
+    know to be agreed may have been promised. Raises Refusal."""
+    disk = Disk(folder)
+    try:
+        disk.lock()
+        store = Store(disk)
+        kept = store.load(fleet, name, lambda text: None)
+    except (OSError, Damaged, Foreign) as error:
+        raise Refusal(f"{folder}: {error}") from None
+    if kept is None or kept.snapshot.index < 0:
+        raise Refusal(f"{folder}: it holds nothing that was agreed")
+    try:
+        agreed = Agreed(kept.snapshot.data)
+        for entry in kept.entries:
+            if entry.kind == DATA:
+                agreed.apply(entry.data)
+        state, old = agreed.state, store.life
+        state.version += RECOVERED
+        state.pending, state.voters, state.fenced = None, [name], [*state.fenced, old.group][-20:]
+        state.history.append(Record(state.version, by, time.time_ns() // 1_000_000, f"group {old.group} given up; {name} begins anew"))
+        last, term = kept.snapshot.index + len(kept.entries), max(kept.term, kept.snapshot.term) + 1
+        group = f"{fleet}-{uuid.uuid4().hex[:16]}"
+        mine = One(old.member, True, "", "")
+        store.begin(Life(fleet, group, old.member, old.boot + 1),
+                    Kept(Snapshot(last, term, (mine,), agreed.dump()), [], term, ""))
+    except OSError as error:
+        raise Refusal(f"{folder}: {error}") from None
+    finally:
+        disk.unlock()
+    return {"group": group, "fenced": old.group, "member": old.member, "version": state.version, "out": sorted(state.out)}
