--- a/cypresswalk/agreement/store.py
+++ b/cypresswalk/agreement/store.py
@@ -1,7 +1,7 @@
 """In which order a member's log is written and read, on any file layer. No I/O of its own.
 
-One file, `log.N`, of records that follow each other: u32 length | u8 kind | BLAKE2b-128 | body, each digest keyed by the one
-before it, the first by the file's number. A record is added and flushed before any word that relies on it; a new snapshot
+One file, `log.N`, of records that follow each other: u32 length | u8 kind | u32 CRC of these two | BLAKE2b-128 | body, each digest
+keyed by the one before it, the first by the file's number. A record is added and flushed before any word that relies on it; a new snapshot
 writes file N+1 whole (`next`, flushed, renamed, folder flushed) and removes N. Reading tells three things apart (as in
 Alagappan et al., "Protocol-Aware Recovery for Consensus-Based Storage", FAST 2018): a last record that is cut short or has
 sectors that were never written was never acknowledged, and goes; anything else that is wrong is damage, and this member must not vote under its name
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from hashlib import blake2b
 from typing import Protocol
+from zlib import crc32
 
 import msgspec
 
@@ -24,7 +25,7 @@
 
 NEXT, PREFIX, WITNESS, LOST = "next", "log.", "witness", "lost."
 MAGIC, VERSION = b"CWAGREE\n", 1
-RECORD = struct.Struct("<IB16s")
+RECORD = struct.Struct("<IBI16s")
 LARGEST = 256 << 20         # of a file: a snapshot and what the bounds of a log let stand beside it, many times over
 SECTOR = 512                # what a disk writes whole or not at all
 LIFE, SNAPSHOT, VOTE, ENTRY, CUT = range(1, 6)
@@ -180,9 +181,9 @@
     def record(self, data: bytes, at: int, key: bytes) -> tuple[int, bytes, bytes] | None:
         if at + RECORD.size > len(data):
             return None
-        length, kind, seal = RECORD.unpack_from(data, at)
+        length, kind, crc, seal = RECORD.unpack_from(data, at)
         body = data[at + RECORD.size:at + RECORD.size + length]
-        if len(body) != length or sealed(key, kind, body) != seal:
+        if crc != head_sum(length, kind) or len(body) != length or sealed(key, kind, body) != seal:
             return None
         return kind, body, seal
 
@@ -191,11 +192,9 @@
         one of its sectors was never written and reads as zeros. Anything else was whole once."""
         if at + RECORD.size > len(data):
             return True
-        length, kind, _ = RECORD.unpack_from(data, at)
-        if at + RECORD.size + length > len(data):
-            # A length that damage made up would hide all that follows: nobody writes a record of that size.
-            return length <= LARGEST and kind in FORMS or unwritten(data, at)
-        return unwritten(data, at)
+        length, kind, crc, _ = RECORD.unpack_from(data, at)
+        # A length that damage made up would have an acknowledged record pass for the beginning of a longer one.
+        return crc == head_sum(length, kind) and at + RECORD.size + length > len(data) or unwritten(data, at)
 
     # Writing.
 
@@ -229,7 +228,7 @@
         for kind, value in parts:
             body = encode(value)
             key = sealed(key, kind, body)
-            out.append(RECORD.pack(len(body), kind, key) + body)
+            out.append(RECORD.pack(len(body), kind, head_sum(len(body), kind), key) + body)
         return b"".join(out), key
 
     def write(self, work: Work) -> None:
@@ -252,6 +251,10 @@
                 self.key = key
 
 
+def head_sum(length: int, kind: int) -> int:
+    return crc32(struct.pack("<IB", length, kind))
+
+
 def unwritten(data: bytes, at: int) -> bool:
     """Whether a sector from there to the file's end holds nothing at all."""
     borders = [at, *range(at - at % SECTOR + SECTOR, len(data), SECTOR), len(data)]
--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -210,6 +210,7 @@
 def taken(asked: Asked, name: str, ident: str) -> None:
     """The yes means that every balancer acts on it, or may act no more."""
     body = asked.command(name, server=ident)
+    asked.span = max(asked.span, 130.0)     # twice the longest time that may be stated, and an election
     asked.call("settled", {"version": body["version"]})
     click.echo(f"{ident} is {'out' if name == 'out' else 'back'} at every balancer (version {body['version']})")
 
--- a/cypresswalk/faults/proxy.py
+++ b/cypresswalk/faults/proxy.py
@@ -10,8 +10,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from cypresswalk.faults.kinds import Fault
-from cypresswalk.faults.plan import Plan, Replay
+from cypresswalk.faults.kinds import Fault, Kind
+from cypresswalk.faults.plan import Plan, Replay, ways
 from cypresswalk.faults.record import Record
 from cypresswalk.faults.stream import SECOND, Close, Datagrams, Finish, Reset, Step, Stream, Write
 
@@ -70,6 +70,15 @@
             self.timer = self.loop.call_later(max(min(due) - now, 0) / SECOND, self.wake)
         self.pace()
 
+    def strike(self, fault: Fault) -> None:
+        """Here and now."""
+        self.stream.faults.insert(0, fault)
+        steps: list[Step] = []
+        self.stream.ends(self.link.clock(), steps)
+        if not self.stream.over:
+            self.stream.strike(self.link.clock())
+        self.take_in(steps)
+
     def wake(self) -> None:
         self.timer = None
         self.take_in(self.stream.wake(self.link.clock()))
@@ -240,6 +249,21 @@
         self.links[link] = None
         return Side(link, link.up, link.down)
 
+    def impose(self, kind: Kind, direction: str, size: int = 0, ms: int = 0, rate: int = 0, mask: int = 1) -> None:
+        """From now on, wherever each connection is, and on each that comes: for faults by time, which a plan of bytes can't say."""
+        self.plan = Imposed(self.plan, (kind, direction, size, ms, rate, mask))
+        for link in list(self.links):
+            for way in ways(direction):
+                towards = link.up if way == "up" else link.down
+                towards.strike(Fault(link.number, way, towards.stream.at, kind, size, ms, rate, mask))
+
+    def lift(self) -> None:
+        """All that was imposed. Connections that bytes were taken out of can't go on: they are reset."""
+        if isinstance(self.plan, Imposed):
+            self.plan = self.plan.first()
+            for link in list(self.links):
+                link.reset()
+
     async def stop(self) -> None:
         self.server.close()
         for link in list(self.links):
@@ -247,6 +271,20 @@
         await asyncio.sleep(0)
 
 
+class Imposed:
+    """A plan, and what was laid over it while it ran."""
+
+    def __init__(self, plan: "Plan | Replay | Imposed", what: tuple):
+        self.plan, self.what = plan, what
+
+    def first(self) -> Plan | Replay:
+        return self.plan.first() if isinstance(self.plan, Imposed) else self.plan
+
+    def for_connection(self, number: int, seed: int) -> list[Fault]:
+        kind, direction, *more = self.what
+        return [*self.plan.for_connection(number, seed), *(Fault(number, way, 0, kind, *more) for way in ways(direction))]
+
+
 class Inner(asyncio.DatagramProtocol):
     """The socket by which one peer's datagrams go on, and the answers come back."""
 
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -413,13 +413,14 @@
         """The next step, one at a time, towards who should vote and who should be there."""
         newest = {m.name: m for m in members}       # a later incarnation stands behind an earlier one
         gone = [m for m in members if m.name in self.agreed.state.left or newest[m.name] is not m]
-        for member in gone:
-            if not member.voter:
-                return tuple(m for m in members if m is not member)
-        for name, (at, hail) in list(self.joining.items()):
-            del self.joining[name]
-            if now - at < FRESH and not any(m.id == hail.id for m in members):
-                return (*members, One(hail.id, False, hail.address, hail.zone))
+        if any(not m.voter for m in gone):
+            return tuple(m for m in members if m.voter or m not in gone)
+        # All that wait at once: a change goes to every member, and two hundred that start together would make two hundred.
+        joining, self.joining = self.joining, {}
+        new = [One(hail.id, False, hail.address, hail.zone) for at, hail in joining.values()
+               if now - at < FRESH and not any(m.id == hail.id for m in members)]
+        if new:
+            return (*members, *new)
         for name in desired:
             member = newest.get(name)
             if member is not None and not member.voter and member not in gone and self.caught_up(now, member.id):
@@ -502,7 +503,7 @@
             elif name == "settled":
                 if len(self.settling) >= CALLS:
                     raise Busy("too many calls wait")
-                self.settling.append((int(args["version"]), now + int(float(args.get("span", 5)) * SECOND), reply))
+                self.settling.append((int(args["version"]), now + 2 * self.about.stated, reply))
             else:
                 self.lead_command(now, self.command(name, args), reply)
         except Busy as error:
--- a/cypresswalk/fleet/tool.py
+++ b/cypresswalk/fleet/tool.py
@@ -6,7 +6,7 @@
 import uuid
 from typing import Any
 
-from cypresswalk.agreement.log import Snapshot
+from cypresswalk.agreement.log import Log, Snapshot
 from cypresswalk.agreement.node import Kept
 from cypresswalk.agreement.store import Damaged, Foreign, Life, Store
 from cypresswalk.agreement.words import DATA, Member as One
@@ -97,7 +97,8 @@
         state.history.append(Record(state.version, by, time.time_ns() // 1_000_000, f"group {old.group} given up; {name} begins anew"))
         last, term = kept.snapshot.index + len(kept.entries), max(kept.term, kept.snapshot.term) + 1
         group = f"{fleet}-{uuid.uuid4().hex[:16]}"
-        mine = One(old.member, True, "", "")
+        before = next((m for m in Log(kept.snapshot, kept.entries).members if m.id == old.member), None)
+        mine = One(old.member, True, before.address if before else "", before.zone if before else "")
         store.begin(Life(fleet, group, old.member, old.boot + 1),
                     Kept(Snapshot(last, term, (mine,), agreed.dump()), [], term, ""))
     except OSError as error:
--- /dev/null
+++ b/cypresswalk/lab/together/judges.py
@@ -0,0 +1,123 @@
+"""What a history must show. Judges read that alone: calls with when they were made and answered, connects at servers, answers at
+clients; times are nanoseconds of one machine's clock."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+FOREVER = 1 << 62
+
+
+@dataclass(frozen=True, slots=True)
+class Op:
+    """A call on the settings. `result`: "yes", "no" or "unsure"; an unsure one may have come into force, or may yet."""
+    kind: str               # "offer" or "show"
+    began: int
+    ended: int
+    result: str
+    base: int = 0           # of an offer
+    value: int = 0          # offered or shown
+    version: int = 0        # made or shown
+
+
+def linearizable(ops: list[Op], first: tuple[int, int]) -> str:
+    """Whether there is one order of all calls, each at a moment between its begin and its end, in which every answer is right for a
+    register with compare-and-set (Wing and Gong, JPDC 1993, with the memory of Lowe, 2017: a set of calls done and the state that
+    they led to is looked at once). `first`: the version and value before. Says what can't be placed, or nothing."""
+    ops = sorted((op for op in ops if op.result != "no" or op.kind == "offer"), key=lambda op: op.began)
+    # A refused offer names no reason here that would bind it: it may have met a pending one.
+    ops = [op for op in ops if op.result != "no"]
+    ends = [op.ended if op.result == "yes" else FOREVER for op in ops]
+    seen: set[tuple[int, tuple[int, int]]] = set()
+    stack = [(0, first)]
+    best = 0
+    must = sum(1 << i for i, op in enumerate(ops) if op.result == "yes")
+    while stack:
+        done, state = stack.pop()
+        if (done, state) in seen:
+            continue
+        seen.add((done, state))
+        if done & must == must:
+            return ""
+        best = max(best, bin(done & must).count("1"))
+        left = [i for i in range(len(ops)) if not done >> i & 1]
+        soonest = min((ends[i] for i in left), default=FOREVER)
+        for i in left:
+            op = ops[i]
+            if op.began > soonest:
+                break
+            if op.kind == "show":
+                if (op.version, op.value) == state:
+                    stack.append((done | 1 << i, state))
+            elif op.base == state[0]:
+                # An unsure one made a version that nobody told: the next known one decides which.
+                for version in [op.version] if op.version else possible(ops, state[0]):
+                    if version > state[0]:
+                        stack.append((done | 1 << i, (version, op.value)))
+    return f"no order of {len(ops)} calls explains the answers; {best} of {bin(must).count('1')} could be placed"
+
+
+def possible(ops: list[Op], after: int) -> list[int]:
+    return sorted({op.version for op in ops if op.version > after} | {op.base for op in ops if op.base > after} | {after + 1})
+
+
+@dataclass(frozen=True, slots=True)
+class Down:
+    """A server taken out for all: asked for, agreed, put back again (asked for)."""
+    server: str
+    asked: int
+    agreed: int
+    settled: int = FOREVER      # when it was said that no balancer sends there any more
+    back: int = FOREVER
+
+
+def contradiction(downs: list[Down], opens: list[tuple[int, str, str]], stated: int, slack: int) -> tuple[int, list[str]]:
+    """The longest time after which a balancer still sent something new to a server that the fleet had agreed is out, and what breaks
+    the stated time or a yes. `opens`: when, server, balancer."""
+    longest, broken = 0, []
+    for down in downs:
+        for at, server, balancer in opens:
+            if server != down.server or not down.agreed < at < down.back:
+                continue
+            longest = max(longest, at - down.agreed)
+            if at > down.agreed + stated + slack:
+                broken.append(f"{balancer} sent to {server} {(at - down.agreed) / 1e9:.3f} s after all had agreed that it is out")
+            if at > down.settled + slack:
+                broken.append(f"{balancer} sent to {server} {(at - down.settled) / 1e9:.3f} s after the yes for all balancers")
+    return longest, broken
+
+
+def forgotten(downs: list[Down], out: set[str]) -> list[str]:
+    return [f"{d.server} was taken out with a yes and is not out at the end" for d in downs if d.back == FOREVER and d.server not in out]
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    ident: str
+    effect: str
+    asked: int
+    due: int
+    answer: str             # the first line, or "end", "reset", "none"
+    answered: int
+    balancer: str
+
+
+def answers(flows: list[Flow], killed: dict[str, list[int]], slack: int) -> list[str]:
+    """Rule 1 as clients see it: one answer in time, unless the balancer was killed meanwhile (or frozen: the rig lists that as well)."""
+    broken = []
+    for flow in flows:
+        if flow.answer in ("end", "reset", "none"):
+            if not any(flow.asked - slack <= at <= flow.due + slack for at in killed.get(flow.balancer, ())):
+                broken.append(f"flow {flow.ident} at {flow.balancer} got no answer ({flow.answer})")
+        elif flow.answered > flow.due + slack:
+            if not any(flow.asked - slack <= at <= flow.answered for at in killed.get(flow.balancer, ())):
+                broken.append(f"flow {flow.ident} at {flow.balancer} was answered {(flow.answered - flow.due) / 1e9:.3f} s late")
+    return broken
+
+
+def ran_twice(runs: list[tuple[str, str, str]]) -> list[str]:
+    """Rule 2 at the servers. `runs`: id, effect, server."""
+    counts: dict[str, list[str]] = defaultdict(list)
+    for ident, effect, server in runs:
+        if effect == "once-only":
+            counts[ident].append(server)
+    return [f"once-only flow {ident} ran at {', '.join(servers)}" for ident, servers in counts.items() if len(servers) > 1]
--- /dev/null
+++ b/cypresswalk/lab/together/plan.py
@@ -0,0 +1,87 @@
+"""What a run of several balancers is to go through: read from a file, or drawn from a seed."""
+
+from random import Random
+from typing import Literal
+
+from pydantic import Field, model_validator
+
+from cypresswalk import toml
+
+Do = Literal["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "start", "stop", "freeze", "thaw", "wipe", "put_back",
+             "copy", "out", "back", "offer", "show", "server_down"]
+PAIRS = {"cut", "cut_one_way", "slow", "garble"}
+CALLS = {"out", "back", "offer", "show", "server_down"}
+
+
+class Step(toml.Table):
+    at_s: float = Field(ge=0, le=3600)
+    do: Do
+    who: str = ""           # a balancer; "leader" for the one that leads then
+    other: str = ""
+    server: int = Field(0, ge=0)
+    ms: int = Field(200, ge=1, le=60_000)
+
+    @model_validator(mode="after")
+    def fits(self) -> "Step":
+        if self.do != "heal" and not self.who:
+            raise ValueError(f"{self.do} needs who")
+        if self.do in PAIRS and not self.other:
+            raise ValueError(f"{self.do} needs other")
+        return self
+
+
+class Plan(toml.Table):
+    balancers: int = Field(5, ge=1, le=100)
+    voters: int = Field(3, ge=1, le=7)
+    servers: int = Field(4, ge=1, le=50)
+    zones: int = Field(1, ge=1, le=8)
+    lasts_s: float = Field(20, ge=1, le=3600)
+    stated_s: float = Field(5, ge=1, le=60)
+    flows_per_s: float = Field(30, ge=0, le=5000)
+    seed: int = 0
+    step: list[Step] = []
+
+    @model_validator(mode="after")
+    def names(self) -> "Plan":
+        if self.voters > self.balancers:
+            raise ValueError("voters: more than balancers")
+        known = {f"n{i}" for i in range(self.balancers)} | {"leader", ""}
+        for i, step in enumerate(self.step):
+            for field in ("who", "other"):
+                if getattr(step, field) not in known:
+                    raise ValueError(f"step[{i}].{field}: {getattr(step, field)!r} is none of n0 to n{self.balancers - 1}, leader")
+            if step.server >= self.servers:
+                raise ValueError(f"step[{i}].server: there are {self.servers}")
+        return self
+
+
+def read(path: str) -> Plan:
+    """Raises Refusal with a line for each wrong field."""
+    return toml.read(path, Plan)
+
+
+def drawn(seed: int, balancers: int = 5, voters: int = 3, lasts_s: float = 20, faults: int = 8) -> Plan:
+    """Faults and calls by chance, and everything lifted five seconds before the end. One disk is lost at most."""
+    chance = Random(f"{seed}/together")
+    names = [f"n{i}" for i in range(balancers)]
+    steps = []
+    down: set[str] = set()
+    lost = False
+    for at in sorted(chance.uniform(1, lasts_s - 6) for _ in range(faults)):
+        do = chance.choice(["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "freeze", "wipe", "stop"])
+        who, other = chance.sample(names, 2)
+        if chance.random() < 0.4:
+            who = "leader"
+        if do in ("kill", "stop", "wipe") and (len(down) >= (voters - 1) // 2 or do == "wipe" and lost):
+            do = "freeze"
+        if do in ("kill", "stop"):
+            down.add(who)
+            steps.append(Step(at_s=round(at + chance.uniform(0.5, 3), 2), do="start", who=who))
+        lost = lost or do == "wipe"
+        steps.append(Step(at_s=round(at, 2), do=do, who="" if do == "heal" else who, other=other if do in PAIRS else "",
+                          ms=chance.choice((200, 900, 3000))))
+    for _ in range(faults):
+        do = chance.choice(["out", "out", "back", "offer", "offer", "show"])
+        steps.append(Step(at_s=round(chance.uniform(1, lasts_s - 6), 2), do=do, who=chance.choice(names), server=chance.randrange(2)))
+    steps.append(Step(at_s=lasts_s - 5, do="heal"))
+    return Plan(balancers=balancers, voters=voters, lasts_s=lasts_s, seed=seed, step=sorted(steps, key=lambda s: s.at_s))
--- /dev/null
+++ b/cypresswalk/lab/together/stage.py
@@ -0,0 +1,522 @@
+"""Real processes of the program on loopback, the fault tool on the way from each to each, stand-in servers, list agents and clients
+round them, and one history of what all of them did and were told.
+
+One event loop holds the stand-ins and the faults; calls to the fleet are made by threads, as people make them."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from cypresswalk.faults.kinds import Kind
+from cypresswalk.faults.plan import Plan as NoFaults
+from cypresswalk.faults.proxy import Proxy
+from cypresswalk.fleet import tool
+from cypresswalk.lab.balancers import die_with_parent, free_port, own_host
+from cypresswalk.lab.together import judges
+from cypresswalk.lab.together.plan import Plan, Step
+from cypresswalk.refusal import Refusal
+
+SECOND = 1_000_000_000
+READY = 30.0            # seconds for all to begin
+CALL = 4.0              # seconds that a call may take
+SLACK = SECOND // 4     # this machine's own lateness, measured and told beside each run
+TYPES = [{"name": "view", "semantics": "idempotent", "setupTarget": 300.0, "giveUp": 1500.0},
+         {"name": "book", "semantics": "at_most_once", "setupTarget": 300.0, "giveUp": 1500.0}]
+EFFECTS = {"view": "repeatable", "book": "once-only"}
+
+
+def params(me: int, count: int, mark: int = 0) -> dict[str, Any]:
+    return {"me": me, "instances": count, "zone": 0, "azs": ["a"], "family": "conn", "discovery": "pushed",
+            "limits": {"maxConnects": 3, "retryAfter": True, "maxRetryAfter": 1000.0, "probes": True, "dialTimeout": 150.0},
+            "rules": {"askWithin": 10000.0, "cold": 5000.0, "coldShare": 0.2, "fall": 2000.0, "overloadFactor": 3.0},
+            "deductions": {"probe": 0.001 * (mark + 1)}, "stats": {"via": "silent", "fields": []}, "extra": {},
+            "tenants": [], "serviceTypes": TYPES}
+
+
+class Servers:
+    """Stand-ins that answer every flow, and write down who came when from where."""
+
+    def __init__(self, rig: "Rig", count: int):
+        self.rig = rig
+        self.names = [f"s-{i}" for i in range(count)]
+        self.ports: dict[tuple[str, str], int] = {}         # by server and balancer: so that it is known who sent
+
+    async def start(self) -> None:
+        for name in self.names:
+            for balancer in self.rig.names:
+                server = await asyncio.start_server(
+                    lambda r, w, name=name, balancer=balancer: self.serve(name, balancer, r, w), self.rig.host, 0)
+                self.rig.closing.append(server)
+                self.ports[name, balancer] = server.sockets[0].getsockname()[1]
+
+    async def serve(self, name: str, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while line := await reader.readline():
+                words = line.decode(errors="replace").split()
+                if words[:1] == ["PING"]:
+                    writer.write(b"PONG\r\n")
+                elif words[:1] == ["OPEN"] and len(words) > 2:
+                    kind = dict(w.partition("=")[::2] for w in words[3].split(",")).get("c", "")
+                    self.rig.note("open", server=name, balancer=balancer, flow=words[1], effect=EFFECTS.get(kind, "?"))
+                    writer.write(f"UP r{words[1]}\r\n".encode())
+                else:
+                    writer.write(line)
+        except (OSError, ValueError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def entries(self, balancer: str) -> list[dict]:
+        return [{"instanceId": name, "hostPort": f"{self.rig.host}:{self.ports[name, balancer]}", "zone": "a", "machineType": "m",
+                 "cell": 1, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0} for name in self.names]
+
+
+class Agents:
+    """A list agent for each balancer."""
+
+    def __init__(self, rig: "Rig"):
+        self.rig, self.ports = rig, {}
+
+    async def start(self) -> None:
+        for balancer in self.rig.names:
+            server = await asyncio.start_server(lambda r, w, b=balancer: self.serve(b, r, w), self.rig.host, 0)
+            self.rig.closing.append(server)
+            self.ports[balancer] = server.sockets[0].getsockname()[1]
+
+    async def serve(self, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            data = json.dumps({"generation": 1, "reset": True, "instances": self.rig.servers.entries(balancer)}).encode() + b"\n"
+            while True:
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+                await asyncio.sleep(2)
+                data = b"\n"
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass        # the balancer is gone, or the day is over
+        finally:
+            writer.close()
+
+
+@dataclass
+class Process:
+    """One balancer over its starts."""
+    name: str
+    listen: tuple[str, int]
+    admin: tuple[str, int]
+    fleet: tuple[str, int]
+    folder: Path
+    popen: subprocess.Popen | None = None
+    starts: int = 0
+    frozen: bool = False
+    harmed: list[int] = field(default_factory=list)         # when it was killed, frozen or stopped: its clients bear it
+
+
+class Rig:
+    def __init__(self, plan: Plan, folder: Path, tree: Path | None = None, started: Callable[[list[str]], list[str]] | None = None):
+        """`started` may put other words in the place of the command that starts a balancer."""
+        self.plan, self.folder = plan, folder
+        self.tree = tree or Path(__file__).parents[3]
+        self.words = (started or (lambda words: words))([sys.executable, "-B", "-m", "cypresswalk"])
+        self.host = own_host()
+        self.names = [f"n{i}" for i in range(plan.balancers)]
+        self.events: list[dict] = []
+        self.closing: list = []
+        self.chance = Random(f"{plan.seed}/rig")
+        self.servers, self.agents = Servers(self, plan.servers), Agents(self)
+        self.processes: dict[str, Process] = {}
+        self.proxies: dict[tuple[str, str], Proxy] = {}
+        self.flows: list[judges.Flow] = []
+        self.downs: dict[str, judges.Down] = {}
+        self.ended_downs: list[judges.Down] = []
+        self.ops: list[judges.Op] = []
+        self.copies: dict[str, Path] = {}
+        self.late = 0           # nanoseconds that this loop was behind at worst
+        self.tasks: set[asyncio.Task] = set()
+        self.pool = ThreadPoolExecutor(16)
+        self.idents = 0
+        self.faults: list[str] = []         # of the rig itself
+        self.first = (0, 0)                 # the version of the settings at the beginning, and its mark
+
+    def note(self, what: str, **words: object) -> None:
+        self.events.append({"at": time.monotonic_ns(), "what": what} | words)
+
+    # Begin and end.
+
+    async def begin(self) -> None:
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        await self.servers.start()
+        await self.agents.start()
+        for name in self.names:
+            place = self.folder / name
+            place.mkdir()
+            self.processes[name] = Process(name, (self.host, free_port(self.host)), (self.host, free_port(self.host)),
+                                           (self.host, free_port(self.host)), place)
+        voters = self.names[:self.plan.voters]
+        for source in self.names:
+            for target in self.names:
+                # Two that only follow say nothing to each other.
+                if source != target and (source in voters or target in voters):
+                    proxy = Proxy((self.host, 0), self.processes[target].fleet, NoFaults(), self.plan.seed, time.monotonic_ns)
+                    await proxy.start()
+                    self.proxies[source, target] = proxy
+        for number, name in enumerate(self.names):
+            self.write(number, name)
+            self.start(name)
+        self.spawn(self.watch_lateness())
+
+    def write(self, number: int, name: str) -> None:
+        p, voters = self.processes[name], self.names[:self.plan.voters]
+        config = {"name": name, "listen": "%s:%d" % p.listen, "discovery": f"{self.host}:{self.agents.ports[name]}",
+                  "admin_addr": "%s:%d" % p.admin, "seed": f"{number + 1:016x}",
+                  "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024}, "known": {"generation": 0, "reset": True, "instances": []},
+                  "settings": params(number, len(self.names))}
+        (p.folder / "config.json").write_text(json.dumps(config))
+        lines = ["[fleet]", 'fleet = "rig"', f'name = "{name}"', 'address = "%s:%d"' % p.fleet, f'folder = "{p.folder / "kept"}"',
+                 f'zone = "z{number % self.plan.zones}"', f"stated_s = {self.plan.stated_s}", "[fleet.first]",
+                 *(f'{v} = "%s:%d"' % self.processes[v].fleet for v in voters), "[fleet.via]",
+                 *(f'{t} = "%s:%d"' % proxy.address for (s, t), proxy in self.proxies.items() if s == name)]
+        (p.folder / "operator.toml").write_text("\n".join(lines) + "\n")
+
+    def start(self, name: str) -> None:
+        p = self.processes[name]
+        plain = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_") and k not in ("PYTHONPATH", "TMPDIR")}
+        with open(p.folder / "log", "ab") as log:
+            p.popen = subprocess.Popen(self.words, cwd=self.tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                       preexec_fn=die_with_parent, start_new_session=True,
+                                       env=plain | {"PROXY_CONFIG": str(p.folder / "config.json"),
+                                                    "PROXY_OPERATOR": str(p.folder / "operator.toml")})
+        p.starts += 1
+        p.frozen = False
+        self.note("start", who=name)
+
+    def kill(self, name: str) -> None:
+        p = self.processes[name]
+        if p.popen is not None and p.popen.poll() is None:
+            p.popen.kill()
+            p.popen.wait()
+        p.popen = None
+        p.harmed.append(time.monotonic_ns())
+        self.note("kill", who=name)
+
+    async def end(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        for p in self.processes.values():
+            if p.popen is not None and p.popen.poll() is None:
+                p.popen.kill()
+                p.popen.wait()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for server in self.closing:
+            server.close()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+        with open(self.folder / "history.jsonl", "w") as file:
+            file.writelines(json.dumps(event) + "\n" for event in self.events)
+
+    def spawn(self, work) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.done)
+        return task
+
+    def done(self, task: asyncio.Task) -> None:
+        """Guards against a part of the rig that dies unheard, and a run that then judges nothing."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.faults.append(repr(task.exception()))
+            self.note("rig_fault", why=repr(task.exception()))
+
+    async def watch_lateness(self) -> None:
+        while True:
+            before = time.monotonic_ns()
+            await asyncio.sleep(0.02)
+            self.late = max(self.late, time.monotonic_ns() - before - SECOND // 50)
+
+    # The fleet's calls.
+
+    async def ask(self, name: str, what: str, args: dict[str, Any] | None = None, span: float = CALL) -> tuple[str, Any]:
+        """"yes", "no" or "unsure", and the body."""
+        def call() -> tuple[str, Any]:
+            try:
+                ok, body = tool.call(["%s:%d" % self.processes[name].fleet], "rig", what, args, span)
+                return ("yes" if ok else "no"), body
+            except Refusal as error:
+                return "no", {"why": str(error)}
+            except tool.Unsure as error:
+                return "unsure", {"why": str(error)}
+        return await asyncio.get_running_loop().run_in_executor(self.pool, call)
+
+    async def command(self, name: str, what: str, **args: Any) -> tuple[str, Any]:
+        self.idents += 1
+        return await self.ask(name, what, {"ident": f"rig:{self.idents}", "by": "rig", "at": time.time_ns() // 1_000_000} | args)
+
+    async def whole(self, span: float = READY, names: list[str] | None = None) -> dict | None:
+        """The status once every balancer named is a member that acts on the newest version under a lease; None if that never comes."""
+        until = time.monotonic() + span
+        names = names or self.names
+        while time.monotonic() < until:
+            for name in names:
+                result, body = await self.ask(name, "status", span=1.0)
+                if result == "yes":
+                    fit = {m["name"] for m in body["members"] if m["acts_on"] == body["version"] and not m["lapsed"]}
+                    voters = {m["name"] for m in body["members"] if m["voter"]}
+                    if set(names) <= fit and body["settings_version"] and sorted(voters) == body["voters"] \
+                            and len(body["members"]) == len({m["name"] for m in body["members"]}):
+                        local = [await self.ask(n, "local", span=1.0) for n in names]
+                        if all(r == "yes" and b["may_act"] for r, b in local):
+                            return body
+                    break
+            await asyncio.sleep(0.1)
+        return None
+
+    async def leader(self) -> str:
+        for name in self.names:
+            result, body = await self.ask(name, "local", span=0.5)
+            if result == "yes" and body["leader"]:
+                return body["leader"].partition("#")[0]
+        return self.names[0]
+
+    # Load.
+
+    async def load(self, per_second: float) -> None:
+        number = 0
+        while True:
+            await asyncio.sleep(self.chance.expovariate(per_second))
+            number += 1
+            name = self.chance.choice(self.names)
+            self.spawn(self.flow(f"f{number}", name, "book" if number % 5 == 0 else "view"))
+
+    async def flow(self, ident: str, name: str, kind: str) -> None:
+        asked, wait = time.monotonic_ns(), 1500
+        answer, writer = "none", None
+        try:
+            async with asyncio.timeout(wait / 1000 + 1):
+                reader, writer = await asyncio.open_connection(*self.processes[name].listen)
+                writer.write(f"OPEN {ident} {ident.encode().hex()} c={kind},d={wait}\r\n".encode())
+                line = await reader.readline()
+                answer = line.decode().split(" ")[0].strip() or "end"
+        except ConnectionRefusedError:
+            answer = "refused"          # nobody took it
+        except OSError as error:
+            answer = "reset" if isinstance(error, ConnectionResetError) else "none"
+        except TimeoutError:
+            pass
+        finally:
+            answered = time.monotonic_ns()
+            if writer is not None:
+                writer.close()
+        self.flows.append(judges.Flow(ident, EFFECTS[kind], asked, asked + wait * 1_000_000, answer, answered, name))
+        self.note("answer", flow=ident, balancer=name, answer=answer, took_ms=round((answered - asked) / 1e6, 1))
+
+    # The plan.
+
+    async def play(self) -> None:
+        began = time.monotonic()
+        if self.plan.flows_per_s:
+            self.spawn(self.load(self.plan.flows_per_s))
+        for step in self.plan.step:
+            await asyncio.sleep(max(began + step.at_s - time.monotonic(), 0))
+            await self.do(step)
+        await asyncio.sleep(max(began + self.plan.lasts_s - time.monotonic(), 0))
+
+    async def do(self, step: Step) -> None:
+        who = await self.leader() if step.who == "leader" else step.who
+        other = step.other if step.other != who or not who else self.names[(self.names.index(who) + 1) % len(self.names)]
+        self.note("step", do=step.do, who=who, other=other)
+        p = self.processes.get(who)
+        match step.do:
+            case "cut" | "cut_one_way" | "slow" | "garble":
+                for pair in [(who, other)] + [(other, who)] * (step.do == "cut"):
+                    if proxy := self.proxies.get(pair):
+                        self.harm(proxy, step)
+            case "isolate":
+                for pair, proxy in self.proxies.items():
+                    if who in pair:
+                        proxy.impose(Kind.BLACK_HOLE, "both")
+            case "heal":
+                for proxy in self.proxies.values():
+                    proxy.lift()
+                for q in self.processes.values():
+                    self.thaw(q)
+                    if q.popen is None:
+                        self.start(q.name)
+            case "kill":
+                self.kill(who)
+            case "start" if p.popen is None or p.popen.poll() is not None:
+                self.start(who)
+            case "stop" if p.popen is not None and not p.frozen:
+                p.harmed.append(time.monotonic_ns())
+                p.popen.send_signal(signal.SIGTERM)
+                self.spawn(self.leave(p))
+            case "freeze" if p.popen is not None and not p.frozen:
+                p.popen.send_signal(signal.SIGSTOP)
+                p.frozen = True
+                p.harmed.append(time.monotonic_ns())
+                self.spawn(self.thaw_later(p, step.ms / 1000))
+            case "thaw":
+                self.thaw(p)
+            case "copy":
+                self.copies[who] = self.folder / f"copy-{who}"
+                shutil.copytree(p.folder / "kept", self.copies[who], dirs_exist_ok=True)
+            case "wipe":
+                self.kill(who)
+                shutil.rmtree(p.folder / "kept", ignore_errors=True)
+                self.start(who)
+            case "put_back" if who in self.copies:
+                self.kill(who)
+                shutil.rmtree(p.folder / "kept")
+                shutil.copytree(self.copies[who], p.folder / "kept")
+                self.start(who)
+            case "out" | "back" | "server_down":
+                self.spawn(self.hand(who, step.do, f"s-{step.server}"))
+            case "offer":
+                self.spawn(self.offer(who))
+            case "show":
+                self.spawn(self.show(who))
+
+    def harm(self, proxy: Proxy, step: Step) -> None:
+        if step.do == "slow":
+            proxy.impose(Kind.LATENCY, "up", ms=step.ms)
+        elif step.do == "garble":
+            proxy.impose(Kind.GARBLE, "up", size=64, mask=self.chance.randrange(1, 1 << 32))
+        else:
+            proxy.impose(Kind.BLACK_HOLE, "both" if step.do == "cut" else "up")
+
+    def thaw(self, p: Process) -> None:
+        if p.frozen and p.popen is not None:
+            p.popen.send_signal(signal.SIGCONT)
+            p.harmed.append(time.monotonic_ns())
+            self.note("thaw", who=p.name)
+        p.frozen = False
+
+    async def thaw_later(self, p: Process, after: float) -> None:
+        popen = p.popen
+        await asyncio.sleep(after)
+        if p.popen is popen:
+            self.thaw(p)
+
+    async def leave(self, p: Process) -> None:
+        popen = p.popen
+        for _ in range(400):
+            if popen.poll() is not None:
+                break
+            await asyncio.sleep(0.02)
+        else:
+            popen.kill()
+        p.harmed.append(time.monotonic_ns())
+        if p.popen is popen:
+            p.popen = None
+        self.note("left", who=p.name)
+
+    async def hand(self, name: str, what: str, server: str) -> None:
+        asked = time.monotonic_ns()
+        result, body = await self.command(name, "back" if what == "back" else "out", server=server)
+        agreed = time.monotonic_ns()
+        self.note("told", call=what, at_balancer=name, server=server, result=result, body=str(body)[:200])
+        before = self.downs.get(server)
+        if what == "back":
+            if before is not None and result != "no":
+                # It counts as out up to when its return was asked for: from then on nobody knows.
+                self.ended_downs.append(judges.Down(server, before.asked, before.agreed, before.settled, asked))
+                del self.downs[server]
+            return
+        if result == "yes" and before is None:
+            self.downs[server] = judges.Down(server, asked, agreed)
+        if what == "server_down" and result == "yes":
+            result, body = await self.ask(name, "settled", {"version": body["version"]}, span=15.0)
+            self.note("told", call="settled", server=server, result=result, body=str(body)[:200])
+            now = self.downs.get(server)
+            if result == "yes" and now is not None:
+                self.downs[server] = judges.Down(server, now.asked, now.agreed, time.monotonic_ns())
+
+    async def offer(self, name: str) -> None:
+        result, body = await self.ask(name, "show", span=2.0)
+        if result != "yes":
+            return
+        base, mark = body["settings_version"], self.chance.randrange(1 << 20)
+        settings = {k: v for k, v in params(0, len(self.names), mark).items() if k in body["settings"]}
+        began = time.monotonic_ns()
+        result, body = await self.command(name, "offer", base=base, settings=settings)
+        ended = time.monotonic_ns()
+        version = int(str(body.get("why", "")).removeprefix("version ")) if result == "yes" else 0
+        self.ops.append(judges.Op("offer", began, ended, result, base, mark, version))
+        self.note("told", call="offer", at_balancer=name, base=base, result=result, body=str(body)[:200])
+
+    async def show(self, name: str) -> None:
+        began = time.monotonic_ns()
+        result, body = await self.ask(name, "show", span=2.0)
+        if result == "yes":
+            price = body["settings"].get("deductions", {}).get("probe", 0)
+            self.ops.append(judges.Op("show", began, time.monotonic_ns(), "yes", 0, round(price / 0.001) - 1,
+                                      body["settings_version"]))
+
+    # The verdict.
+
+    async def verdict(self) -> dict[str, Any]:
+        broken = []
+        whole = await self.whole()
+        if whole is None:
+            broken.append("the fleet is not whole again though all faults were lifted: " + json.dumps(
+                [(n, (await self.ask(n, "local", span=1.0))[1]) for n in self.names], default=str)[:1500])
+        out = set()
+        if whole is not None:
+            result, body = await self.ask(self.names[0], "show")
+            out = set(body["out"]) if result == "yes" else out
+            broken += judges.forgotten(list(self.downs.values()), out)
+        opens = [(e["at"], e["server"], e["balancer"]) for e in self.events if e["what"] == "open"]
+        stated = int(self.plan.stated_s * SECOND)
+        longest, found = judges.contradiction([*self.downs.values(), *self.ended_downs], opens, stated, SLACK + self.late)
+        broken += found
+        why = judges.linearizable(self.ops, self.first)
+        broken += [why] if why else []
+        harmed = {name: p.harmed for name, p in self.processes.items()}
+        broken += judges.answers(self.flows, harmed, SLACK + self.late)
+        broken += judges.ran_twice([(e["flow"], e["effect"], e["server"]) for e in self.events if e["what"] == "open"])
+        broken += [f"the rig: {fault}" for fault in self.faults]
+        crashed = [name for name, p in self.processes.items() if p.popen is not None and p.popen.poll() not in (None, 0)]
+        broken += [f"{name} ended by itself, code {self.processes[name].popen.poll()}" for name in crashed]
+        answers = {kind: sum(f.answer == kind for f in self.flows) for kind in sorted({f.answer for f in self.flows})}
+        return {"broken": broken, "longest_contradiction_s": round(longest / SECOND, 3), "stated_s": self.plan.stated_s,
+                "answers": answers, "calls": {"offers": sum(op.kind == "offer" for op in self.ops),
+                                              "offers_yes": sum(op.kind == "offer" and op.result == "yes" for op in self.ops),
+                                              "taken_out": len(self.downs) + len(self.ended_downs)},
+                "machine_late_ms": round(self.late / 1e6, 1)}
+
+
+async def played(plan: Plan, folder: Path, **more: Any) -> dict[str, Any]:
+    rig = Rig(plan, folder, **more)
+    try:
+        await rig.begin()
+        began = time.monotonic()
+        status = await rig.whole()
+        if status is None:
+            return {"broken": ["the fleet never began: see the logs in " + str(folder)]}
+        took, rig.first = time.monotonic() - began, (status["settings_version"], 0)
+        await rig.play()
+        report = await rig.verdict() | {"began_in_s": round(took, 2)}
+        (folder / "report.json").write_text(json.dumps(report, indent=1))
+        return report
+    finally:
+        await rig.end()
+
+
+def timeline(folder: Path) -> list[str]:
+    """What a person reads first: faults, calls and what they were told, and balancers' own words, in order."""
+    events = [json.loads(line) for line in (folder / "history.jsonl").read_text().splitlines()]
+    begin = events[0]["at"] if events else 0
+    return [f"{(e['at'] - begin) / SECOND:8.3f} {e['what']} " + " ".join(f"{k}={v}" for k, v in e.items() if k not in ("at", "what"))
+            for e in events if e["what"] not in ("open", "answer")]
