--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -143,8 +143,8 @@
         self.processes: dict[str, Process] = {}
         self.proxies: dict[tuple[str, str], Proxy] = {}
         self.flows: list[judges.Flow] = []
-        self.downs: dict[str, judges.Down] = {}
-        self.ended_downs: list[judges.Down] = []
+        self.outs: list[tuple[str, int, int, int, int]] = []        # server, asked, agreed, version, settled
+        self.backs: list[tuple[str, int, int | None, str]] = []     # server, asked, version, what was told
         self.ops: list[judges.Op] = []
         self.copies: dict[str, Path] = {}
         self.late = 0           # nanoseconds that this loop was behind at worst
@@ -431,21 +431,28 @@
         result, body = await self.command(name, "back" if what == "back" else "out", server=server)
         agreed = time.monotonic_ns()
         self.note("told", call=what, at_balancer=name, server=server, result=result, body=str(body)[:200])
-        before = self.downs.get(server)
+        made = str(body.get("why", "")).removeprefix("version ") if result == "yes" else ""
+        version = int(made) if made.isdecimal() else None
         if what == "back":
-            if before is not None and result != "no":
-                # It counts as out up to when its return was asked for: from then on nobody knows.
-                self.ended_downs.append(judges.Down(server, before.asked, before.agreed, before.settled, asked))
-                del self.downs[server]
-            return
-        if result == "yes" and before is None:
-            self.downs[server] = judges.Down(server, asked, agreed)
-        if what == "server_down" and result == "yes":
-            result, body = await self.ask(name, "settled", {"version": body["version"]}, span=15.0)
-            self.note("told", call="settled", server=server, result=result, body=str(body)[:200])
-            now = self.downs.get(server)
-            if result == "yes" and now is not None:
-                self.downs[server] = judges.Down(server, now.asked, now.agreed, time.monotonic_ns())
+            self.backs.append((server, asked, version, result))
+        elif version is not None:
+            place = len(self.outs)
+            self.outs.append((server, asked, agreed, version, judges.FOREVER))
+            if what == "server_down":
+                result, body = await self.ask(name, "settled", {"version": version}, span=15.0)
+                self.note("told", call="settled", server=server, result=result, body=str(body)[:200])
+                if result == "yes":
+                    self.outs[place] = (server, asked, agreed, version, time.monotonic_ns())
+
+    def downs(self) -> list[judges.Down]:
+        """Each out that was agreed lasts until the next return of that server in the order of versions was asked for. A return that
+        may or may not have come into force ends it too: from then on nobody knows. A yes can be told long after it was agreed."""
+        found = []
+        for server, asked, agreed, version, settled in self.outs:
+            ends = [at for other, at, made, result in self.backs
+                    if other == server and (made is not None and made > version or made is None and result != "yes" and at > asked)]
+            found.append(judges.Down(server, asked, agreed, settled, min(ends, default=judges.FOREVER)))
+        return found
 
     async def offer(self, name: str) -> None:
         result, body = await self.ask(name, "show", span=2.0)
@@ -480,10 +487,10 @@
         if whole is not None:
             result, body = await self.ask(self.names[0], "show")
             out = set(body["out"]) if result == "yes" else out
-            broken += judges.forgotten(list(self.downs.values()), out)
+            broken += judges.forgotten(self.downs(), out)
         opens = [(e["at"], e["server"], e["balancer"]) for e in self.events if e["what"] == "open"]
         stated = int(self.plan.stated_s * SECOND)
-        longest, found = judges.contradiction([*self.downs.values(), *self.ended_downs], opens, stated, SLACK + self.late)
+        longest, found = judges.contradiction(self.downs(), opens, stated, SLACK + self.late)
         broken += found
         why = judges.linearizable(self.ops, self.first)
         broken += [why] if why else []
@@ -497,7 +504,7 @@
         return {"broken": broken, "longest_contradiction_s": round(longest / SECOND, 3), "stated_s": self.plan.stated_s,
                 "answers": answers, "calls": {"offers": sum(op.kind == "offer" for op in self.ops),
                                               "offers_yes": sum(op.kind == "offer" and op.result == "yes" for op in self.ops),
-                                              "taken_out": len(self.downs) + len(self.ended_downs)},
+                                              "taken_out": len(self.outs)},
                 "machine_late_ms": round(self.late / 1e6, 1)}
 
 
--- a/cypresswalk/lab/together/virtual.py
+++ b/cypresswalk/lab/together/virtual.py
@@ -1,6 +1,6 @@
 """A fleet in virtual time: `fleet.driver.Fleet` itself, down to where threads, sockets and files begin, on a clock, links and
 disks that fail by a seed. The same seed gives the same run to the byte. Invariants are held after every step; what breaks one is
-an `Broken` that says which, when and with what seed.
+a `Broken` that says which, when and with what seed.
 
 The links are harder than TCP: words are lost, doubled and overtake each other. The disks lose what was not flushed, tear what
 was being written, fail, fill up, are wiped, and are set back to older copies."""
@@ -14,7 +14,6 @@
 
 from cypresswalk.agreement.node import Harmed, Role
 from cypresswalk.agreement.store import SECTOR, Foreign
-from cypresswalk.agreement.words import Vote, VoteAnswer
 from cypresswalk.fleet.driver import Fleet
 from cypresswalk.fleet.links import Links
 from cypresswalk.fleet.member import Strange, View
@@ -297,10 +296,7 @@
         self.votes: dict[tuple[str, int], str] = {}
         self.given: dict[str, int] = {}
         self.active_at: dict[int, int] = {0: 0}
-        self.group = ""
         self.longest = 0        # nanoseconds that two acted on contradicting versions
-        self.dead = 0           # of an id: promises are those that were heard
-        self.acked: dict[str, int] = {}     # commands that somebody was told are agreed, and the version named
 
     def count(self, what: str) -> None:
         self.situations[what] += 1
@@ -316,7 +312,6 @@
         self.words += 1
         data = encode(frame)
         self.bytes += len(data)
-        self.promised(hello.id, frame)
         target = self.by_address.get(address)
         if target is None or (source.name, target.name) in self.cuts:
             return
@@ -326,11 +321,6 @@
                 heappush(self.coming, (self.now + self.chance.randint(*self.delay) + self.slow.get((source.name, target.name), 0),
                                        self.entered, target, hello, data))
 
-    def promised(self, ident: str, frame: object) -> None:
-        """A5: whoever votes does so once a term, over all its starts. A word that left counts as said."""
-        if isinstance(frame, VoteAnswer) and frame.granted and not frame.early or isinstance(frame, Vote) and not frame.early:
-            pass        # held in `sent`, where the receiver's name is known
-
     def arrive(self, target: Process, hello: object, data: bytes) -> None:
         fleet = target.fleet
         if fleet is None or fleet.member is None:
