Tests of what the deciding thread does about two lists, settings that change, leases and calls

Need: the binding had been shown by whole processes alone. 13 cases: of two lists the tighter word, customers keep their numbers over new settings, what can't be followed is not acted on, nothing is taken or sent without a lease, a server out by force stays out.

--- /dev/null
+++ b/tests/test_binding.py
@@ -0,0 +1,161 @@
+"""What the deciding thread does about what is agreed: two lists at once, settings that change, servers out by hand."""
+
+import copy
+import json
+
+import pytest
+
+from cypresswalk.fleet.binding import Binding, objection, shared
+from cypresswalk.fleet.member import View
+from cypresswalk.model import ListForm, State
+from cypresswalk.net.calls import Call
+from cypresswalk.net.config import build
+from cypresswalk.net.core import Core, Session
+from cypresswalk.net.counters import Counters
+from cypresswalk.net.lines import opening
+from cypresswalk.net.registry import Registry, server_number
+from cypresswalk.operator import FleetTable
+from helpers import PARAMS, START, config_data, listed
+
+
+class Drivers:
+    def __init__(self):
+        self.connects, self.answers = [], []
+
+    def connect(self, leg, address, line):
+        self.connects.append((leg, address))
+
+    def answer(self, session, line):
+        self.answers.append(line)
+
+    def __getattr__(self, name):
+        return lambda *words: True
+
+
+class Bound:
+    """A core with the fleet's word beside its own, and no fleet behind it."""
+
+    def __init__(self, tmp_path, *entries):
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(config_data(entries)))
+        config = build({"PROXY_CONFIG": str(file)}, config_data(entries))
+        self.drivers, self.now, self.posted, self.told = Drivers(), START, [], []
+        self.core = Core(config, self.drivers, Counters(), self.now)
+        self.registry = Registry(config.zones)
+        _, known = self.registry.decode(config.known)
+        self.core.listed(self.now, ListForm.CACHED, known)
+        table = FleetTable(fleet="f", name="n0", address="127.0.0.1:9", folder=str(tmp_path / "kept"), first={"n0": "127.0.0.1:9"})
+        self.binding = Binding(table, config, self.core, lambda *what: self.posted.append(what), lambda: self.registry)
+        self.binding.fleet.told_list = lambda *what: self.told.append(what)
+        self.binding.fleet.started.set()
+        self.may_act = True
+        self.core.lease = lambda: self.may_act
+
+    def list(self, generation, *entries, reset=False):
+        form, found = self.registry.decode({"generation": generation, "reset": reset, "instances": list(entries)})
+        self.core.listed(self.now, form, found)
+
+    def view(self, version, **changes):
+        fields = dict(settings_version=0, settings={}, out=(), list_version=0, servers=())
+        self.binding.act_on(self.now, View(version, **fields | changes))
+
+    def state(self, name):
+        return self.core.balancer.servers[server_number(name)].state
+
+    def open(self, ident, kind="view", **more):
+        session = Session(None)
+        self.core.opened(self.now, session, opening(f"OPEN {ident} {ident.encode().hex()} c={kind},t=north,d=900".encode()))
+        self.core.pull(self.now)
+        return session
+
+
+def entry(name, state="ready", since=0):
+    return (name, 0, 1, state, 1.0, since)
+
+
+def test_of_two_lists_the_tighter_word_counts_and_nothing_loosens_on_ones_own(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"), listed("s-2"))
+    bound.list(5, listed("s-1"), listed("s-2"), listed("s-3"), reset=True)
+    assert [generation for generation, *_ in bound.told] == [5] and len(bound.told[0][2]) == 3
+    bound.view(1, list_version=1, servers=(entry("s-1"), entry("s-2", "draining"), entry("s-4")))
+    # Its own agent is behind: it has s-2 in service still, and s-3 is not agreed.
+    assert bound.state("s-1") is State.READY and bound.state("s-2") is State.DRAINING and bound.state("s-3") is State.GONE
+    bound.list(6, listed("s-1", lifecycle="terminating"))
+    assert bound.state("s-1") is State.DRAINING     # what it was told itself binds at once
+    bound.list(7, listed("s-2"), listed("s-3"))
+    assert bound.state("s-2") is State.DRAINING and bound.state("s-3") is State.GONE
+    bound.view(2, list_version=2, servers=(entry("s-1"), entry("s-2", since=9), entry("s-3")))
+    assert bound.state("s-2") is State.READY and bound.state("s-3") is State.READY and bound.state("s-1") is State.DRAINING
+
+
+def test_settings_change_under_flows_and_what_cannot_be_followed_is_not_acted_on(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"))
+    first = bound.open("a1", "book")
+    params = shared(copy.deepcopy(PARAMS))
+    params["serviceTypes"] = [{"name": "chat", "semantics": "idempotent", "setupTarget": 200.0, "giveUp": 800.0}]
+    params["tenants"] = [{"name": "south"}, {"name": "north"}, {"name": "west"}]
+    acted = []
+    bound.binding.fleet.acted = acted.append
+    bound.view(4, settings_version=4, settings=params)
+    assert acted == [4] and list(bound.core.service_types) == ["chat"]
+    # A customer keeps its number: flows that stand are counted by it.
+    assert bound.core.customers == {"north": 0, "south": 1, "west": 2}
+    assert first.flow.type.setup_target == 300_000_000 and bound.open("a2", "chat").flow.type.setup_target == 200_000_000
+    assert bound.open("a3", "book").flow is None and bound.drivers.answers[-1] == b"ERR\r\n"
+    bound.view(5, settings_version=5, settings=params | {"limits": params["limits"] | {"dialTimeout": 1.0}})
+    assert acted == [4] and bound.binding.version == 4
+
+
+@pytest.mark.parametrize("change, says", [
+    ({"me": 3}, "me: not among"), ({"serviceTypes": []}, "none, or a name twice"), ({"limits": {}}, "missing"),
+    ({"rules": None}, "subscriptable"), ({"extra": {"groups": False}}, "extra.groups: takes effect at a start alone"),
+    ({"tenants": [{"name": "a"}, {"name": "a"}]}, "twice"), ({"instances": 0}, "above 0"),
+    ({"serviceTypes": [PARAMS["serviceTypes"][0] | {"giveUp": 0}]}, "giveUp must be above 0"),
+    ({"serviceTypes": [PARAMS["serviceTypes"][0] | {"semantics": "perhaps"}]}, "perhaps")])
+def test_settings_that_a_balancer_cannot_act_on_are_objected_to(change, says):
+    assert says in objection(PARAMS, shared(PARAMS) | change)
+    assert not objection(PARAMS, shared(PARAMS)) and objection(PARAMS, [1])
+
+
+def test_without_a_lease_nothing_is_taken_and_a_flow_already_taken_is_answered_at_once(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"))
+    held = bound.open("b1")
+    assert len(bound.drivers.connects) == 1
+    bound.may_act = False
+    assert bound.open("b2").over and bound.drivers.answers == [b"BUSY\r\n"] and len(bound.drivers.connects) == 1
+    # One that is chosen a server again after the lease has ended goes nowhere.
+    leg = bound.drivers.connects[0][0]
+    from cypresswalk.model import Outcome
+    bound.core.ended(bound.now, leg, Outcome.FULL)
+    for _ in range(50):
+        bound.now += 20_000_000
+        bound.core.pass_time(bound.now)
+        bound.core.pull(bound.now)
+    assert held.over and len(bound.drivers.connects) == 1 and bound.drivers.answers[-1] == b"BUSY\r\n"
+    assert bound.core.counters.counts["flows_without_lease"] >= 1 and not bound.core.sessions
+
+
+def test_a_server_out_at_one_balancer_alone_stays_out_whatever_the_fleet_says_of_it(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"), listed("s-2"))
+    calls = []
+    bound.binding.fleet.call = lambda name, args, reply, span: calls.append((name, args, reply))
+    call = Call("set-down-here", "s-1")
+    bound.core.called(bound.now, call)
+    assert call.answers.get_nowait() == b"OK\r\n" and calls[0][0] == "note"
+    bound.view(1, out=("s-1", "s-2"))
+    bound.view(2, out=())
+    barred = {name: bound.core.balancer.servers[server_number(name)].barred for name in ("s-1", "s-2")}
+    assert barred == {"s-1": True, "s-2": False}
+    call = Call("set-down", "s-2")
+    bound.core.called(bound.now, call)
+    assert call.answers.empty()         # the yes comes after the fleet's
+    calls[-1][2](True, {"version": 3})
+    answer, *words = bound.posted[-1]
+    answer(bound.now, *words)
+    assert call.answers.get_nowait() == b"OK\r\n" and bound.core.balancer.servers[server_number("s-2")].barred
+    call = Call("set-down", "s-1")
+    bound.core.called(bound.now, call)
+    calls[-1][2](False, {"why": "nobody answered", "unsure": True})
+    answer, *words = bound.posted[-1]
+    answer(bound.now, *words)
+    assert call.answers.get_nowait() == b"ERR not agreed: nobody answered\r\n"
