--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -7,7 +7,7 @@
 
 from cypresswalk.fleet.binding import Binding, objection, shared
 from cypresswalk.fleet.member import View
-from cypresswalk.model import ListForm, State
+from cypresswalk.model import ListForm, Outcome, State
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import build
 from cypresswalk.net.core import Core, Session
@@ -118,14 +118,13 @@
 
 
 def test_without_a_lease_nothing_is_taken_and_a_flow_already_taken_is_answered_at_once(tmp_path):
-    bound = Bound(tmp_path, listed("s-1"))
+    bound = Bound(tmp_path, listed("s-1"), listed("s-2"))
     held = bound.open("b1")
     assert len(bound.drivers.connects) == 1
     bound.may_act = False
     assert bound.open("b2").over and bound.drivers.answers == [b"BUSY\r\n"] and len(bound.drivers.connects) == 1
     # One that is chosen a server again after the lease has ended goes nowhere.
     leg = bound.drivers.connects[0][0]
-    from cypresswalk.model import Outcome
     bound.core.ended(bound.now, leg, Outcome.FULL)
     for _ in range(50):
         bound.now += 20_000_000
