--- a/tests/planted.py
+++ b/tests/planted.py
@@ -96,3 +96,13 @@
     def careless(self, now, source, word):
         asked(self, now, source, type(word)(word.term, 1 << 60, 1 << 60, word.early, word.forced))
     patch.setattr(Node, "asked_to_vote", careless)
+
+
+def older_term_committed_by_count(patch):
+    settle = Node.settle
+
+    def counted(self, now):
+        have = sorted((self.durable if v == self.me else self.peers[v].match if v in self.peers else 0 for v in self.voters))
+        self.commit = max(self.commit, have[(len(have) - 1) // 2])
+        settle(self, now)
+    patch.setattr(Node, "settle", counted)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -10,9 +10,9 @@
 
 import planted
 from cypresswalk.agreement.log import Snapshot
-from cypresswalk.agreement.node import Busy, Kept, Node, Timing, Work
+from cypresswalk.agreement.node import Busy, Harmed, Kept, Node, Role, Timing, Work
 from cypresswalk.agreement.store import Damaged, Foreign, Life, Store
-from cypresswalk.agreement.words import DATA, Entry, Member
+from cypresswalk.agreement.words import DATA, Append, Entry, Member
 from cypresswalk.fleet.leases import Given, Held
 from cypresswalk.fleet.links import Links
 from cypresswalk.fleet.words import PROTOCOL, Call, FrameError, Frames, Hello, pack
@@ -305,6 +305,70 @@
         made.change(0, (Member("a#1", True), Member("b#1", True), Member("c#1", True)))
 
 
+class Five:
+    """Nodes alone, words carried by hand: for a case that takes more luck than random runs have."""
+
+    def __init__(self):
+        members = tuple(Member(name, True) for name in "abcde")
+        self.nodes = {name: Node(name, Kept(Snapshot(0, 0, members, b"")), Timing(entries=1), Random(name), 0) for name in "abcde"}
+        self.now = 0
+
+    def pump(self, names: str, passes=lambda source, target, word: True) -> None:
+        while any([self.step(name, names, passes) for name in names]):
+            pass
+
+    def step(self, name: str, names: str, passes) -> bool:
+        work = self.nodes[name].take()
+        if work is None:
+            return False
+        self.nodes[name].written(self.now, work)
+        for target, word in work.words:
+            if target in names and passes(name, target, word):
+                self.nodes[target].heard(self.now, name, word)
+        return True
+
+    def elect(self, name: str, names: str, passes=lambda source, target, word: True) -> None:
+        for _ in range(6):
+            self.now += 10 * SECOND
+            self.nodes[name].due_at = self.now
+            self.nodes[name].passed(self.now)
+            self.pump(names, passes)
+            if self.nodes[name].role is Role.LEADER:
+                return
+        raise AssertionError(f"{name} was not elected")
+
+
+def an_entry_of_an_older_term(five: Five) -> tuple[int, int, bool]:
+    """Figure 8 of the Raft paper: what a leader of an older term left at most voters is overwritten all the same."""
+    five.elect("a", "abcde")
+    index, _ = five.nodes["a"].propose(five.now, b"x")
+    five.pump("ab")
+    five.elect("e", "cde", lambda source, target, word: not isinstance(word, Append))
+    later = five.nodes["a"].term + 2
+
+    def without_its_own(source, target, word):
+        return not (isinstance(word, Append) and any(entry.term >= later for entry in word.entries))
+    five.elect("a", "abc", without_its_own)
+    for _ in range(8):
+        five.now += SECOND // 5
+        five.nodes["a"].passed(five.now)
+        five.pump("abc", without_its_own)
+    assert five.nodes["a"].role is Role.LEADER and five.nodes["c"].log.term(index) == 1
+    counted = five.nodes["a"].commit
+    five.elect("e", "bcde")
+    five.pump("bcde")
+    same = five.nodes["e"].log.term(index) == five.nodes["a"].log.term(index)
+    return index, counted, same
+
+
+def test_what_an_older_term_left_is_agreed_only_under_an_entry_of_this_one(monkeypatch):
+    index, counted, same = an_entry_of_an_older_term(Five())
+    assert counted < index and not same
+    planted.older_term_committed_by_count(monkeypatch)
+    with pytest.raises(Harmed, match=f"entry {index} of term 1 is agreed, the leader of term"):
+        an_entry_of_an_older_term(Five())       # agreed, and then something else
+
+
 # Files.
 
 def stored(chance=Random(1)) -> tuple[MemoryDisk, Store, Kept]:
