Rig: list agents that lag, a list that drains servers; the fleet binds who was not told

Each agent now has its own place in the list's changes; the judge holds every balancer, also one whose agent lags, to the stated time and a second after the list took a server out.

--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -8,9 +8,8 @@
 from cypresswalk import toml
 
 Do = Literal["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "start", "stop", "freeze", "thaw", "wipe", "put_back",
-             "copy", "out", "back", "offer", "show", "server_down"]
+             "copy", "out", "back", "offer", "show", "server_down", "lag", "list_drain"]
 PAIRS = {"cut", "cut_one_way", "slow", "garble"}
-CALLS = {"out", "back", "offer", "show", "server_down"}
 
 
 class Step(toml.Table):
@@ -23,7 +22,7 @@
 
     @model_validator(mode="after")
     def fits(self) -> "Step":
-        if self.do != "heal" and not self.who:
+        if self.do not in ("heal", "list_drain") and not self.who:
             raise ValueError(f"{self.do} needs who")
         if self.do in PAIRS and not self.other:
             raise ValueError(f"{self.do} needs other")
--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -30,6 +30,7 @@
 SECOND = 1_000_000_000
 READY = 30.0            # seconds for all to begin
 CALL = 4.0              # seconds that a call may take
+LISTED = SECOND         # until most voters have told the leader of a new list
 SLACK = SECOND // 4     # this machine's own lateness, measured and told beside each run
 TYPES = [{"name": "view", "semantics": "idempotent", "setupTarget": 300.0, "giveUp": 1500.0},
          {"name": "book", "semantics": "at_most_once", "setupTarget": 300.0, "giveUp": 1500.0}]
@@ -77,16 +78,26 @@
         finally:
             writer.close()
 
-    def entries(self, balancer: str) -> list[dict]:
+    def entries(self, balancer: str, names: list[str] | None = None) -> list[dict]:
         return [{"instanceId": name, "hostPort": f"{self.rig.beside}:{self.ports[name, balancer]}", "zone": "a", "machineType": "m",
-                 "cell": 1, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0} for name in self.names]
+                 "cell": 1, "lifecycle": "terminating" if name in self.rig.agents.draining else "in_service", "weight": 1.0,
+                 "startedAtMs": 0} for name in (self.names if names is None else names)]
 
 
 class Agents:
-    """A list agent for each balancer."""
+    """A list agent for each balancer. One that lags has heard of nothing since."""
 
     def __init__(self, rig: "Rig"):
         self.rig, self.ports = rig, {}
+        self.changes: list[str] = []        # servers that drain, in the order in which the list learned of it
+        self.lagging: dict[str, int] = {}   # balancer: how many changes its agent knows
+
+    @property
+    def draining(self) -> set[str]:
+        return set(self.changes)
+
+    def known(self, balancer: str) -> int:
+        return self.lagging.get(balancer, len(self.changes))
 
     async def start(self) -> None:
         for balancer in self.rig.names:
@@ -94,16 +105,29 @@
             self.rig.closing.append(server)
             self.ports[balancer] = server.sockets[0].getsockname()[1]
 
+    def told(self, balancer: str, known: int, names: list[str], whole: bool) -> bytes:
+        entries = self.rig.servers.entries(balancer, names)
+        for entry in entries:
+            if entry["instanceId"] not in self.changes[:known]:
+                entry["lifecycle"] = "in_service"
+        return json.dumps({"generation": 1 + known, "reset": whole, "instances": entries}).encode() + b"\n"
+
     async def serve(self, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            data = json.dumps({"generation": 1, "reset": True, "instances": self.rig.servers.entries(balancer)}).encode() + b"\n"
+            known = self.known(balancer)
+            data, quiet = self.told(balancer, known, self.rig.servers.names, True), 0
             while True:
-                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-                await writer.drain()
-                await asyncio.sleep(2)
-                data = b"\n"
+                if data:
+                    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                    await writer.drain()
+                    quiet = 0
+                await asyncio.sleep(0.05)
+                now, quiet = self.known(balancer), quiet + 1
+                data = b"\n" if quiet >= 40 else b""
+                if now > known:
+                    data, known = self.told(balancer, now, self.changes[known:now], False), now
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass        # the balancer is gone, or the day is over
         finally:
@@ -149,6 +173,7 @@
         self.outs: list[tuple[str, int, int, int, int]] = []        # server, asked, agreed, version, settled
         self.backs: list[tuple[str, int, int | None, str]] = []     # server, asked, version, what was told
         self.ops: list[judges.Op] = []
+        self.listed_out: list[tuple[str, int]] = []                 # servers that the list took out, and when
         self.copies: dict[str, Path] = {}
         self.late = 0           # nanoseconds that this loop was behind at worst
         self.tasks: set[asyncio.Task] = set()
@@ -361,6 +386,7 @@
                     if who in pair:
                         proxy.impose(Kind.BLACK_HOLE, "both")
             case "heal":
+                self.agents.lagging.clear()
                 for proxy in self.proxies.values():
                     proxy.lift()
                 for q in self.processes.values():
@@ -396,6 +422,11 @@
                 self.start(who)
             case "out" | "back" | "server_down":
                 self.spawn(self.hand(who, step.do, f"s-{step.server}"))
+            case "lag":
+                self.agents.lagging[who] = self.agents.known(who)
+            case "list_drain" if f"s-{step.server}" not in self.agents.draining:
+                self.agents.changes.append(f"s-{step.server}")
+                self.listed_out.append((f"s-{step.server}", time.monotonic_ns()))
             case "offer":
                 self.spawn(self.offer(who))
             case "show":
@@ -501,6 +532,10 @@
         stated = int(self.plan.stated_s * SECOND)
         longest, found = judges.contradiction(self.downs(), opens, stated, SLACK + self.late)
         broken += found
+        # The list: most voters' agents learn of it within a moment, the fleet then binds those whose agents lag.
+        listed = [judges.Down(server, at, at) for server, at in self.listed_out]
+        _, found = judges.contradiction(listed, opens, stated, SLACK + self.late + LISTED)
+        broken += [f"the list took it out: {line}" for line in found]
         why = judges.linearizable(self.ops, self.first)
         broken += [why] if why else []
         harmed = {name: p.harmed for name, p in self.processes.items()}
