Strangers at the fleet's port: garbage to a real process, counted, without effect

Need: bad input had been shown to the parsers alone. 40 connections with random bytes, lengths from nowhere, torn and missing hellos, another fleet, protocol and group with a term of 2^40: all counted (frames_odd, hellos_refused, words_of_other_groups), the term stays, the next command is agreed.

--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -8,10 +8,13 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 import pytest
 
 from cypresswalk import operator
+from cypresswalk.agreement.words import Vote
+from cypresswalk.fleet.words import PROTOCOL, Call, Hello, pack
 from cypresswalk.lab.balancers import free_port
 from cypresswalk.lab.together import plan as plans
 from cypresswalk.lab.together.plan import Plan, Step
@@ -149,6 +152,36 @@
     with_rig(tmp_path, test, balancers=4, stated_s=2)
 
 
+def test_strangers_at_the_fleets_port_are_counted_and_change_nothing(tmp_path):
+    async def test(rig):
+        place = rig.processes["n0"].fleet
+        chance = Random(3)
+        hello = Hello(PROTOCOL, "rig", "member", "", "n9#1", 1, 1, "127.0.0.1:9", "")
+        odd = [chance.randbytes(3000), b"\xff\xff\xff\xff", pack(hello)[:9], pack(hello)[4:] * 50, pack(Call(1, "status", {})),
+               pack(Hello(PROTOCOL, "other", "member", "", "n9#1", 1, 1, "", "")),
+               pack(Hello(PROTOCOL + 1, "rig", "member", "", "n9#1", 1, 1, "", "")),
+               pack(Hello(PROTOCOL, "rig", "member", "another", "n9#2", 1, 1, "", "")) + pack(Vote(1 << 40, 9, 9, False, True))]
+        socks = []
+        for data in odd * 5:
+            sock = socket.create_connection(place, timeout=4)
+            sock.sendall(data)
+            socks.append(sock)
+        until = time.monotonic() + 8
+        while time.monotonic() < until:
+            counts = (await rig.ask("n0", "local"))[1]["counts"]
+            if counts.get("frames_odd", 0) >= 15 and counts.get("hellos_refused", 0) >= 10 and \
+                    counts.get("words_of_other_groups", 0) >= 5:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            raise AssertionError(counts)
+        assert (await rig.ask("n0", "local"))[1]["term"] < 1000
+        assert (await rig.command("n0", "out", server="s-0"))[0] == "yes"
+        for sock in socks:
+            sock.close()
+    with_rig(tmp_path, test, balancers=1, voters=1, flows_per_s=0)
+
+
 def test_a_wrong_table_ends_the_start_with_a_line_for_each_field(tmp_path):
     file = tmp_path / "operator.toml"
     file.write_text('[fleet]\nfleet = "a b"\nname = "n0"\naddress = "nowhere"\nfolder = "here"\nstated_s = 0\nodd = 1\n')
