--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -49,7 +49,7 @@
 
 
 def test_five_processes_under_each_kind_of_fault(tmp_path):
-    report = asyncio.run(played(plans.read(ROOT / "experiments/together.toml"), tmp_path / "rig"))
+    report = asyncio.run(played(plans.read(ROOT / "experiments/together/faults.toml"), tmp_path / "rig"))
     assert not report["broken"], report
     assert report["longest_contradiction_s"] <= 5.5 and report["answers"]["UP"] > 300
     assert report["calls"]["offers_yes"] >= 1 and report["calls"]["taken_out"] >= 2, report
