--- a/cypresswalk/agreement/node.py
+++ b/cypresswalk/agreement/node.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from cypresswalk.agreement.log import Log, Snapshot, encode
-from cypresswalk.agreement.words import (CHANGE, DATA, NOTHING, AnyWord, Append, AppendAnswer, Disowned, Entry, Member,
+from cypresswalk.agreement.words import (CHANGE, DATA, NOTHING, AnyWord, Append, AppendAnswer, Disowned, Entry,
                                          Members, Piece, PieceAnswer, TakeOver, Vote, VoteAnswer)
 
 MILLISECOND = 1_000_000
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -19,7 +19,7 @@
 from cypresswalk.fleet.driver import Fleet
 from cypresswalk.fleet.member import View
 from cypresswalk.hosting import SettingsError, decode_settings
-from cypresswalk.model import ListForm, Server, Settings, State
+from cypresswalk.model import ListForm, Server, State
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config, read
 from cypresswalk.net.core import Core
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -114,7 +114,7 @@
         self.reports: dict[str, tuple[int, bytes]] = {}         # by member: its list
         self.wipes = 0
         self.wiped: dict[str, int] = {}
-        self.acts_on, self.acts_since = 0, now
+        self.acts_on = 0
         self.acting: dict[str, tuple[int, int]] = {}            # by member: the version it acts on, heard first when
         self.list_told: tuple[int, bytes, list] = (-1, b"", [])
         self.calls: dict[int, Waiting] = {}
@@ -344,7 +344,7 @@
     def acted(self, now: int, version: int) -> None:
         """The deciding thread acts on it now."""
         if version > self.acts_on:
-            self.acts_on, self.acts_since = version, now
+            self.acts_on = version
             self.ask_at = now       # so that those who wait for all to act on it hear of it
 
     def told_list(self, now: int, generation: int, digest: bytes, servers: list) -> None:
--- a/cypresswalk/lab/together/judges.py
+++ b/cypresswalk/lab/together/judges.py
@@ -23,9 +23,8 @@
     """Whether there is one order of all calls, each at a moment between its begin and its end, in which every answer is right for a
     register with compare-and-set (Wing and Gong, JPDC 1993, with the memory of Lowe, 2017: a set of calls done and the state that
     they led to is looked at once). `first`: the version and value before. Says what can't be placed, or nothing."""
-    ops = sorted((op for op in ops if op.result != "no" or op.kind == "offer"), key=lambda op: op.began)
-    # A refused offer names no reason here that would bind it: it may have met a pending one.
-    ops = [op for op in ops if op.result != "no"]
+    # A refused offer binds nothing here: it may have met a pending one.
+    ops = sorted((op for op in ops if op.result != "no"), key=lambda op: op.began)
     ends = [op.ended if op.result == "yes" else FOREVER for op in ops]
     seen: set[tuple[int, tuple[int, int]]] = set()
     stack = [(0, first)]
--- a/cypresswalk/lab/together/virtual.py
+++ b/cypresswalk/lab/together/virtual.py
@@ -43,7 +43,6 @@
         self.held = None
         self.kill_in: int | None = None     # operations until the process dies in the middle of one
         self.failing = self.full = False
-        self.slow = 0
 
     def step(self) -> bool:
         """Whether the process dies in this operation."""
@@ -180,7 +179,6 @@
         self.waiting: list[tuple] = []      # events while it is frozen
         self.disk_id = ""                   # whose its folder was when it last ran
         self.acts_on = 0
-        self.acted_since: dict[int, int] = {}
         self.again_at = 0
         self.looked_at: int | None = None   # when the world next looks whether it is due
         self.refuses: set[int] = set()      # settings marked so it can't read
@@ -195,7 +193,6 @@
         """The deciding thread, which takes no time here."""
         if view.version > self.acts_on:
             self.acts_on = view.version
-            self.acted_since[view.version] = self.world.now
             self.fleet.queue.put(("acted", view.version))
             self.fleet.acts_on = view.version
 
