Rig: the lab's oracle with rule 4, unsound disks and clocks, half-closes, lying agents, cold restarts

Need: the rig judged rules 1 to 3 by judges of its own and rule 4 not at all; full and failing disks and clocks 1% off were played in virtual time alone, half-closes and lying list agents not at all.

The oracle's own test plants a breach of rules 1, 3 and 4.

--- a/cypresswalk/lab/together/judges.py
+++ b/cypresswalk/lab/together/judges.py
@@ -2,8 +2,12 @@
 clients; times are nanoseconds of one machine's clock."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from cypresswalk.lab import oracle
+from cypresswalk.lab.seen import Event
+
 FOREVER = 1 << 62
 
 
@@ -105,8 +109,7 @@
     until; what it held then, its clients bear."""
     broken = []
     for flow in flows:
-        last = max(flow.due, flow.answered)
-        if any(begin - slack <= last and flow.asked <= end + slack for begin, end in harmed.get(flow.balancer, ())):
+        if excused(flow, harmed, slack):
             continue
         if flow.answer in ("end", "reset", "none"):
             broken.append(f"flow {flow.ident} at {flow.balancer} got no answer ({flow.answer})")
@@ -115,6 +118,21 @@
     return broken
 
 
+def excused(flow: Flow, harmed: dict[str, list[tuple[int, int]]], slack: int) -> bool:
+    last = max(flow.due, flow.answered)
+    return any(begin - slack <= last and flow.asked <= end + slack for begin, end in harmed.get(flow.balancer, ()))
+
+
+def four_rules(seen: Iterable[Event], rules: oracle.Rules, flows: list[Flow], harmed: dict[str, list[tuple[int, int]]],
+               slack: int) -> list[str]:
+    """The lab's own oracle over the fleet: rules 1 and 2 flow by flow, 3 by what each balancer's own list told, 4 over the sum of
+    all. A flow that a balancer held while the rig froze or killed it counts as its client's that left."""
+    lost = {flow.ident for flow in flows if excused(flow, harmed, slack)}
+    events = [Event(e.at, "left", e.flow, e.who, e.words) if e.what == "answer" and e.flow in lost else e for e in seen]
+    events += [Event(flow.asked, "left", flow.ident, flow.balancer, {}) for flow in flows if flow.ident in lost]
+    return [str(breach) for breach in oracle.judge(events, rules)]
+
+
 def ran_twice(runs: list[tuple[str, str, str]]) -> list[str]:
     """Rule 2 at the servers. `runs`: id, effect, server."""
     counts: dict[str, list[str]] = defaultdict(list)
--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -8,8 +8,11 @@
 from cypresswalk import toml
 
 Do = Literal["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "start", "stop", "freeze", "thaw", "wipe", "put_back",
-             "copy", "out", "back", "offer", "show", "server_down", "lag", "list_drain"]
-PAIRS = {"cut", "cut_one_way", "slow", "garble"}
+             "copy", "out", "back", "offer", "show", "server_down", "lag", "lie", "list_drain", "half_close", "disk_full", "disk_fails",
+             "server_restart"]
+PAIRS = {"cut", "cut_one_way", "slow", "garble", "half_close"}
+DISKS = {"disk_full", "disk_fails"}     # until all is healed
+NOBODY = {"heal", "list_drain", "server_restart"}
 
 
 class Step(toml.Table):
@@ -22,7 +25,7 @@
 
     @model_validator(mode="after")
     def fits(self) -> "Step":
-        if self.do not in ("heal", "list_drain") and not self.who:
+        if self.do not in NOBODY and not self.who:
             raise ValueError(f"{self.do} needs who")
         if self.do in PAIRS and not self.other:
             raise ValueError(f"{self.do} needs other")
@@ -38,12 +41,16 @@
     stated_s: float = Field(5, ge=1, le=60)
     flows_per_s: float = Field(30, ge=0, le=5000)
     seed: int = 0
+    clocks: dict[str, float] = {}       # balancers whose fleet's clock runs fast by that part, 0.01 for 1%
     step: list[Step] = []
 
     @model_validator(mode="after")
     def names(self) -> "Plan":
         if self.voters > self.balancers:
             raise ValueError("voters: more than balancers")
+        for name, off in self.clocks.items():
+            if name not in {f"n{i}" for i in range(self.balancers)} or not -0.02 <= off <= 0.02:
+                raise ValueError(f"clocks.{name}: none of n0 to n{self.balancers - 1}, or not within 0.02")
         known = {f"n{i}" for i in range(self.balancers)} | {"leader", ""}
         for i, step in enumerate(self.step):
             for field in ("who", "other"):
@@ -67,7 +74,8 @@
     down: set[str] = set()
     lost = False
     for at in sorted(chance.uniform(1, lasts_s - 6) for _ in range(faults)):
-        do = chance.choice(["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "freeze", "wipe", "stop"])
+        do = chance.choice(["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "freeze", "wipe", "stop", "half_close",
+                            "disk_full", "disk_fails", "lag", "server_restart"])
         who, other = chance.sample(names, 2)
         if chance.random() < 0.4:
             who = "leader"
@@ -77,10 +85,11 @@
             down.add(who)
             steps.append(Step(at_s=round(at + chance.uniform(0.5, 3), 2), do="start", who=who))
         lost = lost or do == "wipe"
-        steps.append(Step(at_s=round(at, 2), do=do, who="" if do == "heal" else who, other=other if do in PAIRS else "",
-                          ms=chance.choice((200, 900, 3000))))
+        steps.append(Step(at_s=round(at, 2), do=do, who="" if do in NOBODY else who, other=other if do in PAIRS else "",
+                          ms=chance.choice((200, 900, 3000)), server=2 + chance.randrange(2) if do == "server_restart" else 0))
     for _ in range(faults):
         do = chance.choice(["out", "out", "back", "offer", "offer", "show"])
         steps.append(Step(at_s=round(chance.uniform(1, lasts_s - 6), 2), do=do, who=chance.choice(names), server=chance.randrange(2)))
     steps.append(Step(at_s=lasts_s - 5, do="heal"))
-    return Plan(balancers=balancers, voters=voters, lasts_s=lasts_s, seed=seed, step=sorted(steps, key=lambda s: s.at_s))
+    clocks = {chance.choice(names): chance.choice((0.01, -0.01))}
+    return Plan(balancers=balancers, voters=voters, lasts_s=lasts_s, seed=seed, clocks=clocks, step=sorted(steps, key=lambda s: s.at_s))
--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -23,24 +23,28 @@
 from cypresswalk.faults.proxy import Proxy
 from cypresswalk.fleet import tool
 from cypresswalk.lab.balancers import die_with_parent, free_port, own_host
+from cypresswalk.lab.oracle import Rules, ServerRule, TypeRule
+from cypresswalk.lab.seen import Event
 from cypresswalk.lab.together import judges
-from cypresswalk.lab.together.plan import Plan, Step
+from cypresswalk.lab.together.plan import DISKS, Plan, Step
 from cypresswalk.refusal import Refusal
 
 SECOND = 1_000_000_000
 READY = 30.0            # seconds for all to begin
 CALL = 4.0              # seconds that a call may take
 LISTED = SECOND         # until most voters have told the leader of a new list
+DOWN = 0.3              # seconds that a server's restart takes
 SLACK = SECOND // 4     # this machine's own lateness, measured and told beside each run
 TYPES = [{"name": "view", "semantics": "idempotent", "setupTarget": 300.0, "giveUp": 1500.0},
          {"name": "book", "semantics": "at_most_once", "setupTarget": 300.0, "giveUp": 1500.0}]
 EFFECTS = {"view": "repeatable", "book": "once-only"}
+OVERLOAD, FALL, COLD, COLD_SHARE, CONNECTS = 3.0, 2.0, 5.0, 0.2, 3     # of the settings
 
 
 def params(me: int, count: int, mark: int = 0) -> dict[str, Any]:
     return {"me": me, "instances": count, "zone": 0, "azs": ["a"], "family": "conn", "discovery": "pushed",
-            "limits": {"maxConnects": 3, "retryAfter": True, "maxRetryAfter": 1000.0, "probes": True, "dialTimeout": 150.0},
-            "rules": {"askWithin": 10000.0, "cold": 5000.0, "coldShare": 0.2, "fall": 2000.0, "overloadFactor": 3.0},
+            "limits": {"maxConnects": CONNECTS, "retryAfter": True, "maxRetryAfter": 1000.0, "probes": True, "dialTimeout": 150.0},
+            "rules": {"askWithin": 10000.0, "cold": COLD * 1000, "coldShare": COLD_SHARE, "fall": FALL * 1000, "overloadFactor": OVERLOAD},
             "deductions": {"probe": 0.001 * (mark + 1)}, "stats": {"via": "silent", "fields": []}, "extra": {},
             "tenants": [], "serviceTypes": TYPES}
 
@@ -52,6 +56,8 @@
         self.rig = rig
         self.names = [f"s-{i}" for i in range(count)]
         self.ports: dict[tuple[str, str], int] = {}         # by server and balancer: so that it is known who sent
+        self.open: dict[str, set[asyncio.StreamWriter]] = {name: set() for name in self.names}
+        self.down: set[str] = set()
 
     async def start(self) -> None:
         for name in self.names:
@@ -62,39 +68,58 @@
                 self.ports[name, balancer] = server.sockets[0].getsockname()[1]
 
     async def serve(self, name: str, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        rig, flow = self.rig, ""
+        rig.numbers += 1
+        number = rig.numbers
+        self.open[name].add(writer)
         try:
-            while line := await reader.readline():
+            while name not in self.down and (line := await reader.readline()):
                 words = line.decode(errors="replace").split()
                 if words[:1] == ["PING"]:
                     writer.write(b"PONG\r\n")
                 elif words[:1] == ["OPEN"] and len(words) > 2:
-                    kind = dict(w.partition("=")[::2] for w in words[3].split(",")).get("c", "")
-                    self.rig.note("open", server=name, balancer=balancer, flow=words[1], effect=EFFECTS.get(kind, "?"))
-                    writer.write(f"UP r{words[1]}\r\n".encode())
+                    kind, flow = dict(w.partition("=")[::2] for w in words[3].split(",")).get("c", ""), words[1]
+                    rig.note("open", server=name, balancer=balancer, flow=flow, effect=EFFECTS.get(kind, "?"))
+                    rig.see("attempt", flow, name, balancer=balancer, number=number, load=1.0)
+                    writer.write(f"UP r{flow}\r\n".encode())
+                    rig.see("reply", flow, name, number=number, kind="up", receipt=f"UP r{flow}")
                 else:
                     writer.write(line)
         except (OSError, ValueError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
+            if flow:
+                rig.see("broke" if name in self.down else "let_go", flow, name, number=number, how="end")
+            self.open[name].discard(writer)
             writer.close()
 
-    def entries(self, balancer: str, names: list[str] | None = None) -> list[dict]:
-        return [{"instanceId": name, "hostPort": f"{self.rig.beside}:{self.ports[name, balancer]}", "zone": "a", "machineType": "m",
-                 "cell": 1, "lifecycle": "terminating" if name in self.rig.agents.draining else "in_service", "weight": 1.0,
-                 "startedAtMs": 0} for name in (self.names if names is None else names)]
+    async def restart(self, name: str) -> None:
+        """Every connection ends; a moment later it is there again, cold, and the list says so."""
+        self.down.add(name)
+        self.rig.see("server_down", who=name)
+        for writer in list(self.open[name]):
+            writer.transport.abort()
+        await asyncio.sleep(DOWN)
+        self.down.discard(name)
+        self.rig.see("server_up", who=name)
+        self.rig.agents.changes.append((name, "in_service", time.time_ns() // 1_000_000))
 
 
 class Agents:
-    """A list agent for each balancer. One that lags has heard of nothing since."""
+    """A list agent for each balancer. One that lags has heard of nothing since; one that lies says that all is in service."""
 
     def __init__(self, rig: "Rig"):
         self.rig, self.ports = rig, {}
-        self.changes: list[str] = []        # servers that drain, in the order in which the list learned of it
+        self.changes: list[tuple[str, str, int]] = []   # server, state, start (ms): in the order in which the list learned of it
         self.lagging: dict[str, int] = {}   # balancer: how many changes its agent knows
+        self.lying: set[str] = set()
 
     @property
     def draining(self) -> set[str]:
-        return set(self.changes)
+        return {name for name, (state, _) in self.latest(len(self.changes)).items() if state != "in_service"}
+
+    def latest(self, known: int) -> dict[str, tuple[str, int]]:
+        return {name: (state, started) for name, state, started in self.changes[:known]}
 
     def known(self, balancer: str) -> int:
         return self.lagging.get(balancer, len(self.changes))
@@ -106,10 +131,14 @@
             self.ports[balancer] = server.sockets[0].getsockname()[1]
 
     def told(self, balancer: str, known: int, names: list[str], whole: bool) -> bytes:
-        entries = self.rig.servers.entries(balancer, names)
-        for entry in entries:
-            if entry["instanceId"] not in self.changes[:known]:
-                entry["lifecycle"] = "in_service"
+        latest, entries = self.latest(known), []
+        for name in names:
+            state, started = latest.get(name, ("in_service", 0))
+            if balancer in self.lying:
+                state = "in_service"
+            self.rig.see("told", who=balancer, server=name, life=state, version=known)
+            entries.append({"instanceId": name, "hostPort": f"{self.rig.beside}:{self.rig.servers.ports[name, balancer]}", "zone": "a",
+                            "machineType": "m", "cell": 1, "lifecycle": state, "weight": 1.0, "startedAtMs": started})
         return json.dumps({"generation": 1 + known, "reset": whole, "instances": entries}).encode() + b"\n"
 
     async def serve(self, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -127,7 +156,8 @@
                 now, quiet = self.known(balancer), quiet + 1
                 data = b"\n" if quiet >= 40 else b""
                 if now > known:
-                    data, known = self.told(balancer, now, self.changes[known:now], False), now
+                    names = list(dict.fromkeys(name for name, *_ in self.changes[known:now]))
+                    data, known = self.told(balancer, now, names, False), now
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass        # the balancer is gone, or the day is over
         finally:
@@ -157,13 +187,18 @@
         """`started` may put other words in the place of the command that starts a balancer."""
         self.plan, self.folder = plan, folder
         self.tree = tree or Path(__file__).parents[3]
-        self.words = (started or (lambda words: words))([sys.executable, "-B", "-m", "cypresswalk"])
+        # Faults inside a machine are handed in by the start: the program's own knows none.
+        odd = plan.clocks or any(step.do in DISKS for step in plan.step)
+        module = "cypresswalk.lab.together.started" if odd else "cypresswalk"
+        self.words = (started or (lambda words: words))([sys.executable, "-B", "-m", module])
         self.host = own_host()
         # The stand-ins listen at another address: guards a balancer's port, between its choice and its start, against theirs.
         self.beside = "127.200." + self.host.split(".", 2)[2]
         self.ports: set[int] = set()
         self.names = [f"n{i}" for i in range(plan.balancers)]
         self.events: list[dict] = []
+        self.seen: list[Event] = []         # what the oracle reads
+        self.numbers = 0                    # of connections at servers
         self.closing: list = []
         self.chance = Random(f"{plan.seed}/rig")
         self.servers, self.agents = Servers(self, plan.servers), Agents(self)
@@ -179,12 +214,16 @@
         self.tasks: set[asyncio.Task] = set()
         self.pool = ThreadPoolExecutor(16)
         self.idents = 0
+        self.healed = 0
         self.faults: list[str] = []         # of the rig itself
         self.first = (0, 0)                 # the version of the settings at the beginning, and its mark
 
     def note(self, what: str, **words: object) -> None:
         self.events.append({"at": time.monotonic_ns(), "what": what} | words)
 
+    def see(self, what: str, flow: str = "", who: str = "", **words: object) -> None:
+        self.seen.append(Event(time.monotonic_ns(), what, flow, who, words))
+
     # Begin and end.
 
     async def begin(self) -> None:
@@ -236,7 +275,9 @@
             p.popen = subprocess.Popen(self.words, cwd=self.tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                                        preexec_fn=die_with_parent, start_new_session=True,
                                        env=plain | {"TMPDIR": str(p.folder), "PROXY_CONFIG": str(p.folder / "config.json"),
-                                                    "PROXY_OPERATOR": str(p.folder / "operator.toml")} | environment)
+                                                    "PROXY_OPERATOR": str(p.folder / "operator.toml"),
+                                                    "TOGETHER_CLOCK": str(self.plan.clocks.get(name, 0.0)),
+                                                    "TOGETHER_DISK": str(p.folder / "disk")} | environment)
         p.starts += 1
         p.frozen = False
         self.note("start", who=name)
@@ -248,6 +289,7 @@
             p.popen.wait()
         p.popen = None
         p.harm()
+        self.see("balancer_down", who=name)
         self.note("kill", who=name)
 
     async def end(self) -> None:
@@ -345,8 +387,11 @@
             async with asyncio.timeout(wait / 1000 + 1):
                 reader, writer = await asyncio.open_connection(*self.processes[name].listen)
                 writer.write(f"OPEN {ident} {ident.encode().hex()} c={kind},d={wait}\r\n".encode())
-                line = await reader.readline()
-                answer = line.decode().split(" ")[0].strip() or "end"
+                self.see("sent", ident, name, type=kind, wait_ms=wait)
+                line = (await reader.readline()).decode().rstrip("\r\n")
+                answer = line.split(" ")[0] or "end"
+                if line:
+                    self.see("answer", ident, name, kind={"UP": "up", "BUSY": "busy"}.get(answer, "failed"), line=line)
         except ConnectionRefusedError:
             answer = "refused"          # nobody took it
         except OSError as error:
@@ -381,12 +426,25 @@
                 for pair in [(who, other)] + [(other, who)] * (step.do == "cut"):
                     if proxy := self.proxies.get(pair):
                         self.harm(proxy, step)
+            case "half_close":
+                if proxy := self.proxies.get((who, other)):
+                    proxy.impose(Kind.HALF_CLOSE, "up")
+            case "disk_full" | "disk_fails":
+                (p.folder / "disk").write_text(step.do)
+            case "server_restart":
+                self.spawn(self.servers.restart(f"s-{step.server}"))
+            case "lie":
+                self.agents.lying.add(who)
             case "isolate":
                 for pair, proxy in self.proxies.items():
                     if who in pair:
                         proxy.impose(Kind.BLACK_HOLE, "both")
             case "heal":
+                self.healed += 1
                 self.agents.lagging.clear()
+                self.agents.lying.clear()
+                for q in self.processes.values():
+                    (q.folder / "disk").unlink(missing_ok=True)
                 for proxy in self.proxies.values():
                     proxy.lift()
                 for q in self.processes.values():
@@ -425,7 +483,7 @@
             case "lag":
                 self.agents.lagging[who] = self.agents.known(who)
             case "list_drain" if f"s-{step.server}" not in self.agents.draining:
-                self.agents.changes.append(f"s-{step.server}")
+                self.agents.changes.append((f"s-{step.server}", "terminating", 0))
                 self.listed_out.append((f"s-{step.server}", time.monotonic_ns()))
             case "offer":
                 self.spawn(self.offer(who))
@@ -454,7 +512,7 @@
             self.thaw(p)
 
     async def leave(self, p: Process) -> None:
-        popen = p.popen
+        popen, healed = p.popen, self.healed
         for _ in range(400):
             if popen.poll() is not None:
                 break
@@ -465,6 +523,8 @@
         if p.popen is popen:
             p.popen = None
         self.note("left", who=p.name)
+        if self.healed > healed and p.popen is None:
+            self.start(p.name)      # all was to run again while it was still leaving
 
     async def hand(self, name: str, what: str, server: str) -> None:
         asked = time.monotonic_ns()
@@ -484,6 +544,13 @@
                 if result == "yes":
                     self.outs[place] = (server, asked, agreed, version, time.monotonic_ns())
 
+    def rules(self) -> Rules:
+        """A server bears what its share of the plan's flows is: the least that its cold budget can be dealt by."""
+        borne = max(self.plan.flows_per_s / self.plan.servers, 1.0)
+        kinds = {t["name"]: TypeRule(EFFECTS[t["name"]], "all", int(t["giveUp"] * 1_000_000)) for t in TYPES}
+        servers = {name: ServerRule("a", 1, borne, COLD_SHARE, int(COLD * SECOND)) for name in self.servers.names}
+        return Rules(kinds, servers, CONNECTS, 0, OVERLOAD, int(FALL * SECOND), 1.0, SLACK + self.late)
+
     def downs(self) -> list[judges.Down]:
         """Each out that was agreed lasts until the next return of that server in the order of versions was asked for. A return that
         may or may not have come into force ends it too: from then on nobody knows. A yes can be told long after it was agreed."""
@@ -528,6 +595,7 @@
             result, body = await self.ask(self.names[0], "show")
             out = set(body["out"]) if result == "yes" else out
             broken += judges.forgotten(self.downs(), out)
+        self.see("day_ended")       # what is under way now is not waited for
         opens = [(e["at"], e["server"], e["balancer"]) for e in self.events if e["what"] == "open"]
         stated = int(self.plan.stated_s * SECOND)
         longest, found = judges.contradiction(self.downs(), opens, stated, SLACK + self.late)
@@ -541,6 +609,7 @@
         harmed = {name: p.harmed for name, p in self.processes.items()}
         broken += judges.answers(self.flows, harmed, SLACK + self.late)
         broken += judges.ran_twice([(e["flow"], e["effect"], e["server"]) for e in self.events if e["what"] == "open"])
+        broken += judges.four_rules(self.seen, self.rules(), self.flows, harmed, SLACK + self.late)
         broken += [f"the rig: {fault}" for fault in self.faults]
         crashed = [name for name, p in self.processes.items() if p.popen is not None and p.popen.poll() not in (None, 0)]
         broken += [f"{name} ended by itself, code {self.processes[name].popen.poll()}" for name in crashed]
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -245,8 +245,8 @@
         program.join_fleet(asked.fleet, config)
 
 
-def main(policy: type[Balancer] = Balancer, core: Callable[..., Core] = Core) -> int:
-    """Another policy or core than the product's own is for comparison and tracing alone."""
+def main(policy: type[Balancer] = Balancer, core: Callable[..., Core] = Core, made: type[Program] = Program) -> int:
+    """Another policy, core or program than the product's own is for comparison, tracing and faults alone."""
     # Until there is something to reload; its own action would end the start.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
@@ -258,7 +258,7 @@
     sys.setswitchinterval(SWITCH_INTERVAL)
     threading.stack_size(config.limits.stack)
     try:
-        program = Program(config, policy, core)
+        program = made(config, policy, core)
         if operator := os.environ.get("PROXY_OPERATOR"):
             enable(program, operator, config)
     except (ConfigError, OSError) as error:
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -16,7 +16,8 @@
 from cypresswalk.agreement.words import Vote
 from cypresswalk.fleet.words import PROTOCOL, Call, Hello, pack
 from cypresswalk.lab.balancers import free_port
-from cypresswalk.lab.together import plan as plans
+from cypresswalk.lab.seen import Event
+from cypresswalk.lab.together import judges, plan as plans
 from cypresswalk.lab.together.plan import Plan, Step
 from cypresswalk.lab.together.stage import Rig, played
 from cypresswalk.refusal import Refusal
@@ -198,3 +199,30 @@
     probe = ("import sys; from cypresswalk.service import program;"
              "print([m for m in sys.modules if 'fleet' in m or 'agreement' in m or 'msgspec' in m])")
     assert subprocess.run([sys.executable, "-c", probe], cwd=ROOT, capture_output=True, text=True, timeout=20).stdout == "[]\n"
+
+
+def test_five_processes_with_full_and_failing_disks_clocks_that_drift_and_servers_that_restart(tmp_path):
+    report = asyncio.run(played(plans.read(ROOT / "experiments/together/machines.toml"), tmp_path / "rig"))
+    assert not report["broken"], report
+    assert report["answers"]["UP"] > 500 and report["calls"]["taken_out"] >= 1, report
+    said = (tmp_path / "rig/n1/log").read_text()
+    assert "input/output error" in said and "event=fleet_again" in said
+
+
+def test_the_oracle_sees_what_all_balancers_together_did_to_a_cold_server_and_what_they_were_told():
+    second, flows, seen = 10**9, [], [Event(0, "server_up", who="s-0")]
+    for i in range(40):         # each of four balancers sends ten: little for one, too much for a server that has just begun
+        at, name = second + i * second // 100, f"n{i % 4}"
+        seen += [Event(at, "sent", f"f{i}", name, {"type": "view", "wait_ms": 1500}),
+                 Event(at, "attempt", f"f{i}", "s-0", {"balancer": name, "number": i, "load": 1.0}),
+                 Event(at, "reply", f"f{i}", "s-0", {"number": i, "kind": "up", "receipt": "UP r"}),
+                 Event(at, "answer", f"f{i}", name, {"kind": "up", "line": "UP r"})]
+        flows.append(judges.Flow(f"f{i}", "repeatable", at, at + 2 * second, "UP", at, name))
+    rules = Rig(Plan(), Path("unused")).rules()
+    assert [line.split(":")[0] for line in judges.four_rules(seen, rules, flows, {}, 0)] == ["cold"]
+    assert judges.four_rules([e for e in seen if e.flow in ("", "f1", "f2", "f3")], rules, flows, {}, 0) == []
+    drained = [Event(0, "told", who="n1", words={"server": "s-0", "life": "terminating", "version": 1}), *seen[1:]]
+    assert {line.split(":")[0] for line in judges.four_rules(drained, rules, flows, {}, 0)} == {"drains"}
+    unanswered = [e for e in seen[1:] if (e.what, e.flow) != ("answer", "f5")]
+    assert [line.split(":")[0] for line in judges.four_rules(unanswered, rules, flows, {}, 0)] == ["one answer"]
+    assert judges.four_rules(unanswered, rules, flows, {"n1": [(second, 2 * second)]}, 0) == []     # n1 was killed then
