Copies: words, pulled transfers, a chained log of batches per holder

Need: the claims' core could not be wired: all of a part went in one word, ids past their time were looked for by a walk over all, and nothing wrote down what a holder must flush.

Change: parts are fetched piece by piece from a sealed holder; ids end by a heap; copies/store.py keeps batches in chained files that go once all ids in them have been held for their time; reading tells torn, damaged and put back apart. The record form is shared with the agreed log's (agreement/store.py).

--- a/cypresswalk/agreement/store.py
+++ b/cypresswalk/agreement/store.py
@@ -146,9 +146,9 @@
         at, key = len(head), first_key(self.number)
         life, kept = None, None
         while at < len(data):
-            record = self.record(data, at, key)
+            record = record_at(data, at, key)
             if record is None:
-                if kept is None or not self.torn(data, at):
+                if kept is None or not torn(data, at):
                     raise Damaged(f"{file}: damaged at byte {at}")
                 break
             kind, body, key = record
@@ -178,24 +178,6 @@
         self.life, self.key = life, key
         return kept, at
 
-    def record(self, data: bytes, at: int, key: bytes) -> tuple[int, bytes, bytes] | None:
-        if at + RECORD.size > len(data):
-            return None
-        length, kind, crc, seal = RECORD.unpack_from(data, at)
-        body = data[at + RECORD.size:at + RECORD.size + length]
-        if crc != head_sum(length, kind) or len(body) != length or sealed(key, kind, body) != seal:
-            return None
-        return kind, body, seal
-
-    def torn(self, data: bytes, at: int) -> bool:
-        """Whether what stands there is the beginning of a record that a lost moment cut short: it ends before its length, or
-        one of its sectors was never written and reads as zeros. Anything else was whole once."""
-        if at + RECORD.size > len(data):
-            return True
-        length, kind, crc, _ = RECORD.unpack_from(data, at)
-        # A length that damage made up would have an acknowledged record pass for the beginning of a longer one.
-        return crc == head_sum(length, kind) and at + RECORD.size + length > len(data) or unwritten(data, at)
-
     # Writing.
 
     def begin(self, life: Life, kept: Kept) -> None:
@@ -227,8 +209,8 @@
         out = []
         for kind, value in parts:
             body = encode(value)
-            key = sealed(key, kind, body)
-            out.append(RECORD.pack(len(body), kind, head_sum(len(body), kind), key) + body)
+            data, key = sealed_record(key, kind, body)
+            out.append(data)
         return b"".join(out), key
 
     def write(self, work: Work) -> None:
@@ -251,6 +233,31 @@
                 self.key = key
 
 
+def sealed_record(key: bytes, kind: int, body: bytes) -> tuple[bytes, bytes]:
+    seal = sealed(key, kind, body)
+    return RECORD.pack(len(body), kind, head_sum(len(body), kind), seal) + body, seal
+
+
+def record_at(data: bytes, at: int, key: bytes) -> tuple[int, bytes, bytes] | None:
+    if at + RECORD.size > len(data):
+        return None
+    length, kind, crc, seal = RECORD.unpack_from(data, at)
+    body = data[at + RECORD.size:at + RECORD.size + length]
+    if crc != head_sum(length, kind) or len(body) != length or sealed(key, kind, body) != seal:
+        return None
+    return kind, body, seal
+
+
+def torn(data: bytes, at: int) -> bool:
+    """Whether what stands there is the beginning of a record that a lost moment cut short: it ends before its length, or
+    one of its sectors was never written and reads as zeros. Anything else was whole once."""
+    if at + RECORD.size > len(data):
+        return True
+    length, kind, crc, _ = RECORD.unpack_from(data, at)
+    # A length that damage made up would have an acknowledged record pass for the beginning of a longer one.
+    return crc == head_sum(length, kind) and at + RECORD.size + length > len(data) or unwritten(data, at)
+
+
 def head_sum(length: int, kind: int) -> int:
     return crc32(struct.pack("<IB", length, kind))
 
--- a/cypresswalk/copies/claims.py
+++ b/cypresswalk/copies/claims.py
@@ -3,47 +3,33 @@
 A part has a view: a number and its holders, the first of them the primary. The primary records a claim, has every other holder
 record it, and grants it once all have flushed it; so each holder alone knows every claim that was ever granted. A view ends when one
 of its holders is sealed: from then on nothing can be granted in it. The next view begins with holders that are whole: they were
-holders of the view before, or took everything from one that was sealed.
+holders of the view before, or fetched everything from one that was sealed.
 
-How it is called: `begin`, `seal`, `tell_whole` set the views; `claim`, `ended`, `heard` say what comes; `out` holds what to do, in
-order: ("write", record) flushed before anything behind it, ("send", to, word), ("answer", token, answer).
+How it is called: `begin`, `seal`, `bring` set the views; `claim`, `ended`, `heard` say what comes; `out` holds what to do, in
+order: ("write", value) flushed before anything behind it, ("send", to, word), ("answer", token, answer).
 
 Invariants: C1 an id is granted to one claimer, over all views; C2 a grant is at all holders of its view, flushed, before it is said;
 C3 words of another view change nothing; C4 a holder that is not whole answers nothing; C5 what is held stays until its time."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from typing import Any
 
-import msgspec
+from cypresswalk.copies.words import (Begun, Bring, Brought, Copied, Copy, Fetch, Fetched, Got, Kept, PartWord, Record, Seal,
+                                      Sealed, Shut, Stand)
 
 MOST = 1_000_000        # ids in one part; beyond them claims are refused, none is forgotten
+PIECE = 4_000           # records in one answer to a fetch: some 300 KB
+ASKERS = 64             # that wait for one id at a time
 
 
-class Word(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    part: int
-    view: int
-
-
-class Record(msgspec.Struct, frozen=True, array_like=True):
-    """`how`: "out" while nobody has said how it ended, then "ran", "never" or "unknown"."""
-    ident: str
-    by: str
-    until: int          # wall time in nanoseconds up to which it is held
-    how: str
-
-
-class Copy(Word, frozen=True):
-    number: int
+@dataclass(slots=True)
+class Copying:
+    """A record on its way to the other holders."""
     record: Record
-
-
-class Copied(Word, frozen=True):
-    number: int
-
-
-class Whole(Word, frozen=True):
-    """All that a sealed holder has, for one that is to hold the part from the view named on."""
-    records: list[Record]
+    missing: set[str]
+    askers: list[object]
+    since: int              # by the owner's clock
 
 
 @dataclass(slots=True)
@@ -52,10 +38,13 @@
     holders: tuple[str, ...] = ()
     sealed: bool = False
     whole: bool = False
-    sure: set[str] = None   # ids that all holders of this view have, as this primary has seen since it started
     brought: int = 0        # the view for which all was brought here, before it began
-    records: dict[str, Record] = None
-    waiting: dict[int, tuple[Record, set[str], list[object]]] = None     # copies out: who has not it yet, who asked
+    records: dict[str, Record] = field(default_factory=dict)
+    ends: list[tuple[int, str]] = field(default_factory=list)       # a heap: until when ids are held
+    sure: set[str] = field(default_factory=set)     # ids that all holders of this view have, as this primary has seen since it started
+    waiting: dict[int, Copying] = field(default_factory=dict)
+    copying: dict[str, int] = field(default_factory=dict)           # ids on their way: the latest number
+    coming: tuple[int, str, list[Record]] | None = None             # what is being fetched: for which view, from whom
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +66,7 @@
     def part(self, number: int) -> Part:
         part = self.parts.get(number)
         if part is None:
-            part = self.parts[number] = Part(records={}, waiting={}, sure=set())
+            part = self.parts[number] = Part()
         return part
 
     # Views.
@@ -93,10 +82,22 @@
         # view and takes what it had before for all there is.
         stays = self.me in holders and (part.brought == view or part.whole and view == part.view + 1 and self.me in part.holders)
         stays = stays or fresh and self.me in holders
-        if (fresh or not stays) and part.brought <= view:
-            part.records = {}       # what was brought for a later view stays for that one
-        part.view, part.holders, part.sealed, part.whole, part.sure = view, holders, False, stays, set()
-        self.out.append(("write", ("view", number, view, holders, stays, fresh)))
+        self.enter(part, view, holders, stays, fresh)
+        self.out.append(("write", Begun(number, view, holders, stays, fresh)))
+
+    def enter(self, part: Part, view: int, holders: tuple[str, ...], whole: bool, fresh: bool) -> None:
+        if (fresh or not whole) and part.brought <= view:
+            self.replace(part, [])      # what was brought for a later view stays for that one
+        part.view, part.holders, part.sealed, part.whole, part.sure = view, holders, False, whole, set()
+
+    def replace(self, part: Part, records: list[Record]) -> None:
+        part.records = {record.ident: record for record in records}
+        part.ends = sorted((record.until, record.ident) for record in records)
+
+    def put(self, part: Part, record: Record) -> None:
+        if record.ident not in part.records:
+            heappush(part.ends, (record.until, record.ident))
+        part.records[record.ident] = record
 
     def seal(self, number: int, view: int) -> bool:
         """Nothing is granted in that view any more, nor copied. Whether this one is whole, so that others can begin from it. To be
@@ -104,70 +105,86 @@
         part = self.part(number)
         if part.view != view or not part.whole or self.me not in part.holders:
             return False
-        part.sealed = True
-        self.give_up(part, "its holders change")
-        self.out.append(("write", ("seal", number, view)))
+        if not part.sealed:
+            part.sealed = True
+            self.give_up(part, "its holders change")
+            self.out.append(("write", Shut(number, view)))
         return True
 
-    def tell_whole(self, number: int, view: int, to: str) -> None:
-        """From a sealed one to one that is to hold the part in `view`."""
+    def bring(self, number: int, view: int, source: str) -> None:
+        """All of the part, for a view to come, from a sealed holder of the one before. Asked again: goes on where it was."""
         part = self.part(number)
-        if part.sealed and part.whole:
-            self.out.append(("send", to, Whole(number, view, list(part.records.values()))))
+        if self.has(number, view):
+            return
+        if part.coming is None or part.coming[:2] != (view, source):
+            part.coming = view, source, []
+        self.out.append(("send", source, Fetch(number, view, len(part.coming[2]))))
+
+    def has(self, number: int, view: int) -> bool:
+        """Whether it could begin that view whole, or has."""
+        part = self.part(number)
+        return part.brought == view or part.whole and part.view == view
 
     def give_up(self, part: Part, why: str) -> None:
-        for record, _, askers in part.waiting.values():
-            for asker in askers:
+        for copying in part.waiting.values():
+            for asker in copying.askers:
                 self.out.append(("answer", asker, Answer("refused", why=why)))
         part.waiting.clear()
+        part.copying.clear()
 
     # Claims, at the primary.
 
-    def claim(self, now: int, number: int, ident: str, by: str, until: int, token: object) -> None:
-        """Asked again by the same one: the same answer. `until` in wall time."""
+    def leads(self, part: Part) -> bool:
+        return part.whole and not part.sealed and part.holders[:1] == (self.me,)
+
+    def claim(self, now: int, number: int, ident: str, by: str, until: int, token: object, at: int = 0) -> None:
+        """Asked again by the same one: the same answer. `now`, `until`: wall time; `at`: the owner's clock."""
         part = self.part(number)
-        if not part.whole or part.sealed or not part.holders or part.holders[0] != self.me:
+        if not self.leads(part):
             self.out.append(("answer", token, Answer("refused", why="not the primary of that part now")))
             return
         self.forget(now, part)
         known = part.records.get(ident)
         if known is not None:
-            for record, _, askers in part.waiting.values():
-                if record.ident == ident and record.how == "out":
-                    askers.append(token) if by == record.by else self.out.append(
-                        ("answer", token, Answer("held", record.by, "out")))
-                    return
+            copying = part.waiting.get(part.copying.get(ident, -1))
+            if copying is not None and copying.record.how == "out":
+                if by != copying.record.by:
+                    self.out.append(("answer", token, Answer("held", copying.record.by, "out")))
+                elif len(copying.askers) < ASKERS:
+                    copying.askers.append(token)
+                return
             if known.by == by and known.how == "out" and ident not in part.sure:
                 # Recorded here, but perhaps not everywhere: this one, or the primary before it, died between two copies.
-                self.record(number, part, known, [token])
+                self.record(number, part, known, [token], at)
             else:
                 self.settle(part, known, [token], known.by == by)
             return
         if len(part.records) >= MOST:
             self.out.append(("answer", token, Answer("refused", why=f"{MOST} ids are held in its part")))
             return
-        self.record(number, part, Record(ident, by, until, "out"), [token])
+        self.record(number, part, Record(ident, by, until, "out"), [token], at)
 
-    def ended(self, now: int, number: int, ident: str, by: str, how: str, token: object) -> None:
+    def ended(self, now: int, number: int, ident: str, by: str, how: str, token: object, at: int = 0) -> None:
         """How it ended, by whom it was granted to. From "out" once; "unknown" may become what is found out."""
         part = self.part(number)
         known = part.records.get(ident)
-        if not part.whole or part.sealed or not part.holders or part.holders[0] != self.me or known is None or known.by != by:
+        if not self.leads(part) or known is None or known.by != by:
             self.out.append(("answer", token, Answer("refused", why="not held here by that one")))
         elif known.how == how or known.how not in ("out", "unknown"):
             self.out.append(("answer", token, Answer("held", known.by, known.how)))
         else:
-            self.record(number, part, Record(ident, by, known.until, how), [token])
+            self.record(number, part, Record(ident, by, known.until, how), [token], at)
 
-    def record(self, number: int, part: Part, record: Record, tokens: list[object]) -> None:
+    def record(self, number: int, part: Part, record: Record, tokens: list[object], at: int) -> None:
         self.numbers += 1
-        part.records[record.ident] = record
-        self.out.append(("write", ("record", number, record)))
+        self.put(part, record)
+        self.out.append(("write", Kept(number, record)))
         others = set(part.holders[1:])
         if not others:
             self.settle(part, record, tokens)
             return
-        part.waiting[self.numbers] = record, others, tokens
+        part.waiting[self.numbers] = Copying(record, others, tokens, at)
+        part.copying[record.ident] = self.numbers
         for other in sorted(others):
             self.out.append(("send", other, Copy(number, part.view, self.numbers, record)))
 
@@ -178,63 +195,103 @@
             granted = same and record.how == "out"
             self.out.append(("answer", token, Answer("granted" if granted else "held", record.by, record.how)))
 
-    def again(self, number: int) -> None:
-        """What is not copied yet is sent once more."""
-        part = self.part(number)
-        for copy, (record, missing, _) in part.waiting.items():
-            for other in sorted(missing):
-                self.out.append(("send", other, Copy(number, part.view, copy, record)))
+    def again(self, number: int, before: int = 1 << 62) -> set[str]:
+        """What was sent before that and is not copied yet is sent once more. Whom it waits for."""
+        part, late = self.part(number), set()
+        for copy, copying in part.waiting.items():
+            if copying.since < before:
+                late |= copying.missing
+                for other in sorted(copying.missing):
+                    self.out.append(("send", other, Copy(number, part.view, copy, copying.record)))
+        return late
 
     def forget(self, now: int, part: Part) -> None:
-        if len(part.records) % 64 == 0:
-            for ident in [ident for ident, record in part.records.items() if record.until < now]:
-                if not any(record.ident == ident for record, _, _ in part.waiting.values()):
-                    del part.records[ident]
-                    part.sure.discard(ident)
-
-    # Words between holders.
-
-    def heard(self, source: str, word: Word) -> None:
+        """Not while it is sealed: others fetch it piece by piece."""
+        while part.ends and part.ends[0][0] < now and not part.sealed:
+            _, ident = part.ends[0]
+            if ident in part.copying:
+                return
+            heappop(part.ends)
+            part.records.pop(ident, None)
+            part.sure.discard(ident)
+
+    # Words between holders, and from who leads.
+
+    def heard(self, source: str, word: PartWord) -> None:
         part = self.part(word.part)
         match word:
             case Copy():
                 if (word.view == part.view and part.whole and not part.sealed and self.me in part.holders[1:]
                         and source == part.holders[0]):
-                    part.records[word.record.ident] = word.record
-                    self.out.append(("write", ("record", word.part, word.record)))
+                    self.put(part, word.record)
+                    self.out.append(("write", Kept(word.part, word.record)))
                     self.out.append(("send", source, Copied(word.part, word.view, word.number)))
             case Copied():
-                waiting = part.waiting.get(word.number) if word.view == part.view and not part.sealed else None
-                if waiting is not None:
-                    waiting[1].discard(source)
-                    if not waiting[1]:
+                copying = part.waiting.get(word.number) if word.view == part.view and not part.sealed else None
+                if copying is not None:
+                    copying.missing.discard(source)
+                    if not copying.missing:
                         del part.waiting[word.number]
-                        self.settle(part, waiting[0], waiting[2])
-            case Whole():
-                # For a view that has not begun here: what it held before is of no use beside a sealed one's.
-                late = word.view == part.view and self.me in part.holders and not part.whole
-                if late or word.view > part.view and part.brought < word.view and not (part.whole and self.me in part.holders):
-                    part.records = {record.ident: record for record in word.records}
-                    part.brought, part.whole = word.view, part.whole or late
-                    self.out.append(("write", ("whole", word.part, word.view, word.records, late)))
+                        if part.copying.get(copying.record.ident) == word.number:
+                            del part.copying[copying.record.ident]
+                        self.settle(part, copying.record, copying.askers)
+            case Fetch():
+                if part.sealed and part.whole and word.view == part.view + 1:
+                    records = list(part.records.values())
+                    self.out.append(("send", source, Fetched(word.part, word.view, word.offset, len(records),
+                                                             records[word.offset:word.offset + PIECE])))
+            case Fetched():
+                self.fetched(source, part, word)
+            case Seal():
+                sound = self.seal(word.part, word.view)
+                self.out.append(("send", source, Sealed(word.part, word.view, sound)))
+            case Bring():
+                if self.has(word.part, word.view):
+                    self.out.append(("send", source, Brought(word.part, word.view)))
+                else:
+                    self.bring(word.part, word.view, word.source)
+
+    def fetched(self, source: str, part: Part, word: Fetched) -> None:
+        if part.coming is None or part.coming[:2] != (word.view, source) or word.offset != len(part.coming[2]):
+            return
+        records = part.coming[2]
+        records += word.records
+        if len(records) < word.total and word.records:
+            self.out.append(("send", source, Fetch(word.part, word.view, len(records))))
+            return
+        part.coming = None
+        if len(records) == word.total:
+            self.got(word.part, word.view, records)
+
+    def got(self, number: int, view: int, records: list[Record]) -> None:
+        """For a view that has not begun here: what it held before is of no use beside a sealed one's."""
+        part = self.part(number)
+        late = view == part.view and self.me in part.holders and not part.whole
+        if late or view > part.view and part.brought < view and not (part.whole and self.me in part.holders):
+            self.replace(part, records)
+            part.brought, part.whole = view, part.whole or late
+            self.out.append(("write", Got(number, view, records, late)))
 
     # After a start.
 
-    def restore(self, written: list[tuple]) -> None:
+    def restore(self, written: list[Any]) -> None:
         """What was written, in its order."""
-        for what, number, *rest in written:
-            part = self.part(number)
-            match what:
-                case "record":
-                    part.records[rest[0].ident] = rest[0]
-                case "seal":
+        for value in written:
+            part = self.part(value.part)
+            match value:
+                case Kept():
+                    self.put(part, value.record)
+                case Shut():
                     part.sealed = True
-                case "view":
-                    view, holders, whole, fresh = rest
-                    if (fresh or not whole) and part.brought <= view:
-                        part.records = {}
-                    part.view, part.holders, part.sealed, part.whole = view, holders, False, whole
-                case "whole":
-                    view, records, late = rest
-                    part.records = {record.ident: record for record in records}
-                    part.brought, part.whole = view, part.whole or late
+                case Begun():
+                    self.enter(part, value.view, tuple(value.holders), value.whole, value.fresh)
+                case Got():
+                    self.replace(part, value.records)
+                    part.brought, part.whole = value.view, part.whole or value.late
+                case Stand():
+                    part.view, part.holders, part.sealed = value.view, tuple(value.holders), value.sealed
+                    part.whole, part.brought = value.whole, value.brought
+
+    def stands(self) -> list[Stand]:
+        """What a new file begins with."""
+        return [Stand(number, p.view, p.holders, p.sealed, p.whole, p.brought) for number, p in sorted(self.parts.items())]
--- /dev/null
+++ b/cypresswalk/copies/words.py
@@ -0,0 +1,147 @@
+"""What members say to each other about claims and their copies, and what a holder writes. Plain values; msgspec gives them their form."""
+
+from typing import Any
+
+import msgspec
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """One message. Unknown trailing fields of a later version are passed over."""
+
+
+class PartWord(Word, frozen=True):
+    part: int
+    view: int
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """`how`: "out" while nobody has said how it ended, then "ran", "never" or "unknown"."""
+    ident: str
+    by: str
+    until: int          # wall time in nanoseconds up to which it is held
+    how: str
+
+
+# Between holders.
+
+class Copy(PartWord, frozen=True):
+    number: int
+    record: Record
+
+
+class Copied(PartWord, frozen=True):
+    number: int
+
+
+class Fetch(PartWord, frozen=True):
+    """By one that is to hold the part in that view, to a sealed holder of the view before: what stands there from `offset` on?"""
+    offset: int
+
+
+class Fetched(PartWord, frozen=True):
+    offset: int
+    total: int
+    records: list[Record]
+
+
+# Between a claimer and the primary of a part.
+
+class Claim(Word, frozen=True):
+    number: int
+    part: int
+    ident: str
+    by: str
+    span: int           # nanoseconds for which it is to be held
+
+
+class Ended(Word, frozen=True):
+    number: int
+    part: int
+    ident: str
+    by: str
+    how: str
+
+
+class Answered(Word, frozen=True):
+    number: int
+    kind: str
+    by: str
+    how: str
+    why: str
+
+
+# Between who leads and holders.
+
+class Seal(PartWord, frozen=True):
+    """End that view."""
+
+
+class Sealed(PartWord, frozen=True):
+    """`sound`: it has all of that view, and nothing is granted in it any more."""
+    sound: bool
+
+
+class Bring(PartWord, frozen=True):
+    """To one that is to hold the part in that view: fetch all from `source`."""
+    source: str
+
+
+class Brought(PartWord, frozen=True):
+    pass
+
+
+class Slow(PartWord, frozen=True):
+    """By a primary: that holder has not answered for long."""
+    who: str
+
+
+AnyWord = Copy | Copied | Fetch | Fetched | Claim | Ended | Answered | Seal | Sealed | Bring | Brought | Slow
+
+
+class Bundle(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """All that one member says to another at a time."""
+    words: list[AnyWord]
+
+
+# What a holder writes, in the order in which it happened; written again at the head of each file: `Stand`.
+
+class Kept(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    part: int
+    record: Record
+
+
+class Begun(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    part: int
+    view: int
+    holders: tuple[str, ...]
+    whole: bool
+    fresh: bool
+
+
+class Shut(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    part: int
+    view: int
+
+
+class Got(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """All of a part for a view, from a sealed holder of the view before. `late`: that view had begun here already."""
+    part: int
+    view: int
+    records: list[Record]
+    late: bool
+
+
+class Stand(msgspec.Struct, frozen=True, array_like=True):
+    part: int
+    view: int
+    holders: tuple[str, ...]
+    sealed: bool
+    whole: bool
+    brought: int
+
+
+def encode(value: Any) -> bytes:
+    return encoder.encode(value)
+
+
+encoder = msgspec.msgpack.Encoder()
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from cypresswalk.copies.claims import Answer, Copy, Holder, Part
+from cypresswalk.copies.claims import Answer, Holder, Part
 from cypresswalk.copies.places import PARTS, holders, part_of
+from cypresswalk.copies import store
+from cypresswalk.copies.store import Log, Lost
+from cypresswalk.copies.words import Begun, Copy, Kept, Record, Shut
+from cypresswalk.lab.together.virtual import MemoryDisk
 
 COPIES = 3
 
@@ -118,8 +122,8 @@
                 self.whole_in_next.add(name)
             else:
                 self.whole_in_next.discard(name)
-                self.lives[source].tell_whole(0, self.view + 1, name)
-        self.carry_out(source)
+                self.lives[name].bring(0, self.view + 1, source)
+                self.carry_out(name)
         # A leader that is wrong about who is whole must do no harm: who is not whole knows it.
         if len(self.whole_in_next) == COPIES or self.whole_in_next and self.chance.random() < 0.2:
             self.agree(self.next_holders)
@@ -142,8 +146,8 @@
 
 
 class BeforeTheSecondCopy(Holder):
-    def record(self, number, part, record, tokens):
-        super().record(number, part, record, [])
+    def record(self, number, part, record, tokens, at):
+        super().record(number, part, record, [], at)
         self.settle(part, record, tokens)
 
 
@@ -160,10 +164,10 @@
 
     def begin(self, number, view, holders, fresh=False):
         """It does not give up what waits, either."""
-        waiting = self.part(number).waiting
-        self.part(number).waiting = {}
+        part = self.part(number)
+        waiting, part.waiting = part.waiting, {}
         super().begin(number, view, holders, fresh)
-        self.part(number).waiting = waiting
+        part.waiting = waiting
 
 
 class EmptyHolderBelieved(Holder):
@@ -189,7 +193,7 @@
     away.claim(0, 0, "x", "n1", 10, "t")
     assert away.out == [("answer", "t", Answer("refused", why="not the primary of that part now"))]
     restored = Holder("b")
-    restored.restore([("view", 0, 1, ("a", "b"), True, True), ("view", 0, 3, ("b", "a"), False, False)])
+    restored.restore([Begun(0, 1, ("a", "b"), True, True), Begun(0, 3, ("b", "a"), False, False)])
     assert not restored.part(0).whole and not restored.seal(0, 3)
 
 
@@ -232,3 +236,57 @@
     assert holders(1, {"a": "z", "b": "z"}, 3) in (("a", "b"), ("b", "a"))
     counts = [sum(part_of(f"{i:016x}") == part for i in range(6400)) for part in range(PARTS)]
     assert min(counts) > 50 and max(counts) < 160
+
+
+def kept(ident: str, until: int = 100) -> Kept:
+    return Kept(0, Record(ident, "n1", until, "out"))
+
+
+def test_what_a_holder_wrote_is_read_back_a_torn_batch_goes_and_damage_counts_as_loss():
+    disk = MemoryDisk(Random(1))
+    log = Log(disk)
+    log.begin("a#1", 1, [])
+    log.write([Begun(0, 1, ("a#1",), True, True), kept("x")], list)
+    first = len(disk.files["copies.1"][0])
+    log.write([kept("y"), Shut(0, 1)], list)
+    whole, inode = disk.files["copies.1"]
+    written = Log(disk).load("a#1", (1,), print)
+    assert written == [Begun(0, 1, ("a#1",), True, True), kept("x"), kept("y"), Shut(0, 1)]
+    holder = Holder("a#1")
+    holder.restore(written)
+    assert holder.part(0).whole and holder.part(0).sealed and set(holder.part(0).records) == {"x", "y"}
+    for cut in range(first, len(whole), 7):
+        disk.files["copies.1"] = whole[:cut], inode
+        assert kept("x") in Log(disk).load("a#1", (1,), lambda text: None)
+    for at in range(len(whole)):        # one byte wrong anywhere: never believed, and never shortened to what passes for whole
+        disk.files["copies.1"] = whole[:at] + bytes([whole[at] ^ 0x41]) + whole[at + 1:], inode
+        with pytest.raises(Lost):
+            Log(disk).load("a#1", (1,), print)
+    disk.files["copies.1"] = whole, inode
+    for member, boots in (("a#2", (1,)), ("a#1", (2,))):
+        with pytest.raises(Lost, match="not of a#"):
+            Log(disk).load(member, boots, print)
+
+
+def test_files_go_once_all_in_them_has_been_held_for_its_time_and_a_failed_flush_ends_the_log(monkeypatch):
+    monkeypatch.setattr(store, "SEGMENT", 200)
+    disk = MemoryDisk(Random(1))
+    log, holder = Log(disk), Holder("a#1")
+    holder.begin(0, 1, ("a#1",), fresh=True)
+    log.begin("a#1", 1, [])
+    for until in range(1, 41):
+        holder.claim(0, 0, f"i{until}", "n1", until, None)
+        log.write([value for what, value, *_ in holder.out if what == "write"], holder.stands)
+        holder.out.clear()
+    assert len(log.numbers()) > 5
+    log.drop(30)
+    again = Holder("a#1")
+    again.restore(Log(disk).load("a#1", (1,), print))
+    assert {f"i{n}" for n in range(30, 41)} <= set(again.part(0).records) and "i1" not in again.part(0).records
+    assert again.part(0).whole and again.part(0).holders == ("a#1",)
+    disk.failing = True
+    with pytest.raises(OSError):
+        log.write([kept("z")], holder.stands)
+    disk.failing = False
+    with pytest.raises(OSError, match="an earlier write failed"):
+        log.write([kept("z")], holder.stands)
