--- a/cypresswalk/copies/claims.py
+++ b/cypresswalk/copies/claims.py
@@ -20,6 +20,7 @@
 
 MOST = 1_000_000        # ids in one part; beyond them claims are refused, none is forgotten
 PIECE = 4_000           # records in one answer to a fetch: some 300 KB
+UNDERWAY = 4_096        # records of one part that copies have not confirmed
 ASKERS = 64             # that wait for one id at a time
 
 
@@ -49,7 +50,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """`kind`: "granted", "held" (by whom, and how that ended), "refused" (why; nothing was granted)."""
+    """`kind`: "granted", "held" (by whom, and how that ended), "again" (not now or not here) and "refused" (why; nothing was
+    granted)."""
     kind: str
     by: str = ""
     how: str = ""
@@ -71,9 +73,8 @@
 
     # Views.
 
-    def begin(self, number: int, view: int, holders: tuple[str, ...], fresh: bool = False) -> None:
-        """A view that is agreed. `fresh`: the part has never been held, or an operator or time has said that what it held counts no
-        more; only then is a holder without a past a whole one."""
+    def begin(self, number: int, view: int, holders: tuple[str, ...]) -> None:
+        """A view that is agreed."""
         part = self.part(number)
         if view <= part.view:
             return
@@ -81,12 +82,11 @@
         # Whole: all that a holder of the view just before has, or that was brought for this one. Guards against one that was away for a
         # view and takes what it had before for all there is.
         stays = self.me in holders and (part.brought == view or part.whole and view == part.view + 1 and self.me in part.holders)
-        stays = stays or fresh and self.me in holders
-        self.enter(part, view, holders, stays, fresh)
-        self.out.append(("write", Begun(number, view, holders, stays, fresh)))
+        self.enter(part, view, holders, stays)
+        self.out.append(("write", Begun(number, view, holders, stays)))
 
-    def enter(self, part: Part, view: int, holders: tuple[str, ...], whole: bool, fresh: bool) -> None:
-        if (fresh or not whole) and part.brought <= view:
+    def enter(self, part: Part, view: int, holders: tuple[str, ...], whole: bool) -> None:
+        if not whole and part.brought <= view:
             self.replace(part, [])      # what was brought for a later view stays for that one
         part.view, part.holders, part.sealed, part.whole, part.sure = view, holders, False, whole, set()
 
@@ -112,10 +112,16 @@
         return True
 
     def bring(self, number: int, view: int, source: str) -> None:
-        """All of the part, for a view to come, from a sealed holder of the one before. Asked again: goes on where it was."""
+        """All of the part, for a view to come, from a sealed holder of the one before; from nobody, if it is to begin with nothing:
+        whoever says so knows that no holder has anything. Asked again: goes on where it was."""
         part = self.part(number)
         if self.has(number, view):
             return
+        if not source:
+            # Not for a view that has begun: guards one that lost its disk against a word from before.
+            if view > part.view:
+                self.got(number, view, [])
+            return
         if part.coming is None or part.coming[:2] != (view, source):
             part.coming = view, source, []
         self.out.append(("send", source, Fetch(number, view, len(part.coming[2]))))
@@ -128,7 +134,7 @@
     def give_up(self, part: Part, why: str) -> None:
         for copying in part.waiting.values():
             for asker in copying.askers:
-                self.out.append(("answer", asker, Answer("refused", why=why)))
+                self.out.append(("answer", asker, Answer("again", why=why)))
         part.waiting.clear()
         part.copying.clear()
 
@@ -141,7 +147,7 @@
         """Asked again by the same one: the same answer. `now`, `until`: wall time; `at`: the owner's clock."""
         part = self.part(number)
         if not self.leads(part):
-            self.out.append(("answer", token, Answer("refused", why="not the primary of that part now")))
+            self.out.append(("answer", token, Answer("again", why="not the primary of that part now")))
             return
         self.forget(now, part)
         known = part.records.get(ident)
@@ -159,8 +165,8 @@
             else:
                 self.settle(part, known, [token], known.by == by)
             return
-        if len(part.records) >= MOST:
-            self.out.append(("answer", token, Answer("refused", why=f"{MOST} ids are held in its part")))
+        if len(part.records) >= MOST or len(part.waiting) >= UNDERWAY:
+            self.out.append(("answer", token, Answer("refused", why="too many ids in its part")))
             return
         self.record(number, part, Record(ident, by, until, "out"), [token], at)
 
@@ -168,7 +174,9 @@
         """How it ended, by whom it was granted to. From "out" once; "unknown" may become what is found out."""
         part = self.part(number)
         known = part.records.get(ident)
-        if not self.leads(part) or known is None or known.by != by:
+        if not self.leads(part):
+            self.out.append(("answer", token, Answer("again", why="not the primary of that part now")))
+        elif known is None or known.by != by:
             self.out.append(("answer", token, Answer("refused", why="not held here by that one")))
         elif known.how == how or known.how not in ("out", "unknown"):
             self.out.append(("answer", token, Answer("held", known.by, known.how)))
@@ -246,10 +254,9 @@
                 sound = self.seal(word.part, word.view)
                 self.out.append(("send", source, Sealed(word.part, word.view, sound)))
             case Bring():
+                self.bring(word.part, word.view, word.source)
                 if self.has(word.part, word.view):
                     self.out.append(("send", source, Brought(word.part, word.view)))
-                else:
-                    self.bring(word.part, word.view, word.source)
 
     def fetched(self, source: str, part: Part, word: Fetched) -> None:
         if part.coming is None or part.coming[:2] != (word.view, source) or word.offset != len(part.coming[2]):
@@ -284,7 +291,7 @@
                 case Shut():
                     part.sealed = True
                 case Begun():
-                    self.enter(part, value.view, tuple(value.holders), value.whole, value.fresh)
+                    self.enter(part, value.view, tuple(value.holders), value.whole)
                 case Got():
                     self.replace(part, value.records)
                     part.brought, part.whole = value.view, part.whole or value.late
--- /dev/null
+++ b/cypresswalk/copies/driver.py
@@ -0,0 +1,253 @@
+"""The thread that keeps what others claimed and claims for this balancer: `claims.Holder` and `claimer.Claimer` on the real disk,
+clock and links. Whatever comes at a time is written and flushed at a time, before a word or an answer of it goes out.
+
+The deciding thread puts its claims into a queue and never waits."""
+
+import logging
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from hashlib import blake2b
+from queue import Empty, SimpleQueue
+from threading import Event
+from typing import Any
+
+from cypresswalk.agreement.store import Files
+from cypresswalk.copies.claimer import Claimer
+from cypresswalk.copies.claims import Holder
+from cypresswalk.copies.places import PARTS
+from cypresswalk.copies.store import Log, Lost
+from cypresswalk.copies.words import Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Sealed, Slow, encode
+
+log = logging.getLogger(__name__)
+MILLISECOND, SECOND = 1_000_000, 1_000_000_000
+TICK = SECOND // 10
+AGAIN = 150 * MILLISECOND       # a copy that is not confirmed goes out once more
+SLOW = 700 * MILLISECOND        # and after so long who leads hears of it
+FORGET = SECOND
+DISK_AGAIN = 1.0                # seconds until a folder that failed is read anew
+STARTS = 3                      # that may have ended between the agreed log's start and this one's
+SKEW = 30 * SECOND              # by which two machines' wall clocks may differ: ids are held for so much longer
+AT_ONCE = 512                   # events taken before they are flushed
+
+
+class Copies:
+    def __init__(self, files: Files, now: Callable[[], int], wall: Callable[[], int], send: Callable[[str, Bundle], None],
+                 to_leader: Callable[[list[AnyWord]], None], holds: Callable[[bool], None]):
+        """`send` and `to_leader` never wait; `holds` is told when this holder begins to hold and when its disk has failed."""
+        self.files, self.now, self.wall, self.send, self.to_leader, self.holds = files, now, wall, send, to_leader, holds
+        self.queue: SimpleQueue = SimpleQueue()
+        self.log = Log(files)
+        self.holder = Holder("")
+        self.claimer = Claimer()
+        self.identity: tuple[str, int] | None = None
+        self.sound = False              # what it has is what its disk has
+        self.views: dict[int, tuple[int, tuple[str, ...]]] = {}      # as agreed
+        self.sealed_at: dict[int, int] = {}
+        self.local: list[AnyWord] = []  # of this member to itself
+        self.tick_at = self.forget_at = 0
+        self.again_at = 0               # when the folder is read anew
+        self.trouble = ""
+        self.counts: Counter[str] = Counter()
+        self.over, self.ended = Event(), Event()
+
+    # For any thread.
+
+    def put(self, *event: object) -> None:
+        self.queue.put(event)
+
+    def stop(self) -> None:
+        self.over.set()
+        self.queue.put(("over",))
+
+    # Its own.
+
+    def run(self) -> None:
+        while not self.over.is_set():
+            wait = min(self.tick_at, self.claimer.due()) - self.now()
+            events = []
+            try:
+                events.append(self.queue.get(timeout=wait / SECOND) if wait > 0 else self.queue.get_nowait())
+                while len(events) < AT_ONCE:
+                    events.append(self.queue.get_nowait())
+            except Empty:
+                pass
+            self.turn(events)
+        self.ended.set()
+
+    def turn(self, events: list[tuple]) -> None:
+        now = self.now()
+        for event in events:
+            self.happen(now, event)
+        self.claimer.passed(now)
+        if now >= self.tick_at:
+            self.tick_at = now + TICK
+            self.tick(now)
+        try:
+            self.carry_out(now)
+        except OSError as error:
+            self.fail(now, error)
+
+    def happen(self, now: int, event: tuple) -> None:
+        match event:
+            case ("words", source, words):
+                for word in words:
+                    self.heard(now, source, word)
+            case ("claim", ident, span, until, reply):
+                self.claimer.claim(now, ident, span, until, reply)
+            case ("finish", ident, by, how):
+                self.claimer.finish(now, ident, by, how)
+            case ("placed", views):
+                for number, (view, holders) in views.items():
+                    if view > self.views.get(number, (0,))[0]:
+                        self.views[number] = view, tuple(holders)
+                        self.claimer.primaries[number] = holders[0]
+                        if self.sound:
+                            self.holder.begin(number, view, tuple(holders))
+            case ("identity", member, boot):
+                self.identity = member, boot
+                self.claimer.named(member, boot)
+                self.views.clear()
+                self.begin(now)
+            case ("tell", reply):
+                reply(True, self.told())
+
+    def heard(self, now: int, source: str, word: AnyWord) -> None:
+        match word:
+            case Answered():
+                self.claimer.heard(now, word)
+            case _ if not self.sound:
+                self.counts["words_unsound"] += 1
+            case Claim():
+                if 0 <= word.part < PARTS and 0 <= word.span <= 1 << 56 and len(word.ident) <= 64 and len(word.by) <= 200:
+                    wall = self.wall()
+                    self.holder.claim(wall, word.part, word.ident, word.by, wall + word.span + SKEW, (source, word.number), now)
+                else:
+                    self.counts["words_odd"] += 1
+            case Ended() if 0 <= word.part < PARTS:
+                self.holder.ended(self.wall(), word.part, word.ident, word.by, word.how, (source, word.number), now)
+            case Bring() if word.view <= self.views.get(word.part, (0,))[0]:
+                self.counts["words_late"] += 1      # of a view that is agreed already
+            case PartWord() if 0 <= word.part < PARTS:
+                self.holder.heard(source, word)
+            case _:
+                self.counts["words_odd"] += 1
+
+    def tick(self, now: int) -> None:
+        if self.identity is not None and not self.sound and now >= self.again_at:
+            self.begin(now)
+        if not self.sound:
+            return
+        me, said = self.holder.me, []
+        for number, (view, holders) in self.views.items():
+            part = self.holder.part(number)
+            if part.waiting:
+                late = self.holder.again(number, now - AGAIN)
+                if any(copying.since < now - SLOW for copying in part.waiting.values()):
+                    said += [Slow(number, part.view, who) for who in sorted(late)]
+            if me in holders and part.view == view:
+                # Guards against parts that stay sealed, or lie at a holder that has not all, once who wanted that leads no more.
+                if not part.whole:
+                    said.append(Slow(number, view, me))
+                elif not part.sealed:
+                    self.sealed_at.pop(number, None)
+                elif now - self.sealed_at.setdefault(number, now) > SLOW:
+                    said.append(Sealed(number, view, True))
+        if said:
+            self.to_leader(said)
+        if now >= self.forget_at:
+            self.forget_at, wall = now + FORGET, self.wall()
+            for part in self.holder.parts.values():
+                self.holder.forget(wall, part)
+            try:
+                self.log.drop(wall)
+            except OSError as error:
+                self.fail(now, error)
+
+    # The disk.
+
+    def begin(self, now: int) -> None:
+        """What the folder holds of this member, or nothing."""
+        member, boot = self.identity
+        self.holder, self.sound, self.again_at = Holder(member), False, now + int(DISK_AGAIN * SECOND)
+        self.log = Log(self.files)
+        try:
+            try:
+                written = self.log.load(member, tuple(range(boot - STARTS, boot + 1)),
+                                        lambda text: log.warning("event=copies_cut why=%s", text))
+                self.holder.restore(written)
+            except Lost as error:
+                log.error("event=copies_lost member=%s why=%s", member, error)
+                self.counts["lost"] += 1
+                self.holder = Holder(member)
+                self.log.clear()
+            self.log.begin(member, boot, self.holder.stands())
+        except OSError as error:
+            self.say_trouble(error)
+            return
+        if self.trouble:
+            log.info("event=copies_again")
+            self.trouble = ""
+        self.sound = True
+        for number, (view, holders) in self.views.items():
+            self.holder.begin(number, view, holders)
+        self.holds(True)
+
+    def fail(self, now: int, error: OSError) -> None:
+        """Nothing of what was being written is said; all is read anew before another word."""
+        self.sound, self.again_at = False, now + int(DISK_AGAIN * SECOND)
+        self.holder = Holder(self.holder.me)
+        self.local.clear()
+        self.holds(False)
+        self.say_trouble(error)
+
+    def say_trouble(self, error: OSError) -> None:
+        why = str(error.strerror or error)
+        if why != self.trouble:
+            log.error("event=copies_disk_failed why=%s", why)
+        self.trouble = why
+
+    def carry_out(self, now: int) -> None:
+        me = self.identity[0] if self.identity else ""
+        while True:
+            sends: dict[str, list[AnyWord]] = defaultdict(list)
+            for to, word in self.claimer.out:
+                sends[to].append(word)
+            self.claimer.out = []
+            out, self.holder.out = self.holder.out, []
+            if writes := [item[1] for item in out if item[0] == "write"]:
+                self.log.write(writes, self.holder.stands)
+                self.counts["flushes"] += 1
+                self.counts["written"] += len(writes)
+            for what, *words in out:
+                if what == "send":
+                    to, word = words
+                    sends[to].append(word)
+                elif what == "answer":
+                    (to, number), answer = words
+                    sends[to].append(Answered(number, answer.kind, answer.by, answer.how, answer.why))
+            local = sends.pop(me, [])
+            for to, words in sends.items():
+                self.counts["bundles"] += 1
+                self.send(to, Bundle(words))
+            if not local:
+                return
+            for word in local:
+                if isinstance(word, Sealed | Brought):
+                    self.to_leader([word])      # who leads is this member
+                else:
+                    self.heard(now, me, word)
+
+    # What it tells.
+
+    def told(self) -> dict[str, Any]:
+        parts = []
+        for number in sorted(self.views):
+            part = self.holder.part(number)
+            if self.holder.me in self.views[number][1]:
+                digest = blake2b(digest_size=8)
+                for ident in sorted(part.records):
+                    digest.update(encode(part.records[ident]))
+                parts.append([number, part.view, part.whole, part.sealed, len(part.records), len(part.waiting), digest.hexdigest()])
+        return {"sound": self.sound, "trouble": self.trouble, "parts": parts, "waiting": self.claimer.claims,
+                "ids": sum(len(p.records) for p in self.holder.parts.values()), "counts": dict(self.counts) | self.claimer.counts}
--- a/cypresswalk/copies/words.py
+++ b/cypresswalk/copies/words.py
@@ -82,7 +82,8 @@
 
 
 class Bring(PartWord, frozen=True):
-    """To one that is to hold the part in that view: fetch all from `source`."""
+    """To one that is to hold the part in that view: fetch all from `source`; or, with none, begin with nothing, since the part was
+    never held, or what it held counts no more."""
     source: str
 
 
@@ -115,7 +116,6 @@
     view: int
     holders: tuple[str, ...]
     whole: bool
-    fresh: bool
 
 
 class Shut(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -26,14 +26,17 @@
         self.view, self.now_holders, self.next_holders = 0, (), ()
         self.whole_in_next: set[str] = set()
         self.granted: dict[str, str] = {}
-        self.answers = {"granted": 0, "held": 0, "refused": 0}
+        self.answers = {"granted": 0, "held": 0, "refused": 0, "again": 0}
         self.tokens = 0
-        self.agreed: list[tuple[int, tuple, bool]] = []
-        self.agree(tuple(self.names[:COPIES]), fresh=True)
+        self.agreed: list[tuple[int, tuple]] = []
+        for name in self.names[:COPIES]:
+            self.lives[name].bring(0, 1, "")
+            self.carry_out(name)
+        self.agree(tuple(self.names[:COPIES]))
 
-    def agree(self, chosen: tuple, fresh: bool = False) -> None:
+    def agree(self, chosen: tuple) -> None:
         self.view, self.now_holders = self.view + 1, chosen
-        self.agreed.append((self.view, chosen, fresh))
+        self.agreed.append((self.view, chosen))
 
     def carry_out(self, name: str, die_after: int | None = None) -> None:
         """The owner's work in its order; the process may die in the middle."""
@@ -78,7 +81,7 @@
             return
         if draw < 0.25:
             known = self.agreed[-1] if chance.random() < 0.5 else self.agreed[min(holder.part(0).view, len(self.agreed) - 1)]
-            holder.begin(0, known[0], known[1], known[2])
+            holder.begin(0, *known)
         elif draw < 0.50:
             ident, by = f"i{chance.randrange(40)}", f"c{chance.randrange(4)}"
             holder.claim(0, 0, ident, by, 1 << 60, (ident, by))
@@ -162,17 +165,17 @@
         else:
             super().heard(source, word)
 
-    def begin(self, number, view, holders, fresh=False):
+    def begin(self, number, view, holders):
         """It does not give up what waits, either."""
         part = self.part(number)
         waiting, part.waiting = part.waiting, {}
-        super().begin(number, view, holders, fresh)
+        super().begin(number, view, holders)
         part.waiting = waiting
 
 
 class EmptyHolderBelieved(Holder):
-    def begin(self, number, view, holders, fresh=False):
-        super().begin(number, view, holders, fresh)
+    def begin(self, number, view, holders):
+        super().begin(number, view, holders)
         self.part(number).whole = self.me in holders
 
 
@@ -187,20 +190,30 @@
 
 def test_one_that_was_away_for_a_view_is_not_whole_though_it_held_the_part_before():
     away = Holder("b")
-    away.begin(0, 1, ("a", "b"), fresh=True)
+    away.bring(0, 1, "")
+    away.begin(0, 1, ("a", "b"))
     away.begin(0, 3, ("b", "a"))        # the second, in which others granted, it never heard of
     away.out.clear()
     away.claim(0, 0, "x", "n1", 10, "t")
-    assert away.out == [("answer", "t", Answer("refused", why="not the primary of that part now"))]
+    assert away.out == [("answer", "t", Answer("again", why="not the primary of that part now"))]
     restored = Holder("b")
-    restored.restore([Begun(0, 1, ("a", "b"), True, True), Begun(0, 3, ("b", "a"), False, False)])
+    restored.restore([Begun(0, 1, ("a", "b"), True), Begun(0, 3, ("b", "a"), False)])
     assert not restored.part(0).whole and not restored.seal(0, 3)
 
 
+def test_one_that_lost_its_disk_does_not_begin_a_view_that_is_agreed_with_nothing():
+    again = Holder("b")         # the same name, an empty folder
+    again.begin(0, 1, ("b", "a"))
+    again.bring(0, 1, "")
+    again.claim(0, 0, "x", "n1", 10, "t")
+    assert not again.part(0).whole and again.out[-1][2].kind == "again" and not again.seal(0, 1)
+
+
 def test_the_first_has_it_the_same_one_is_told_again_and_how_it_ended_is_kept():
     one, two = Holder("a"), Holder("b")
     for holder in (one, two):
-        holder.begin(0, 1, ("a", "b"), fresh=True)
+        holder.bring(0, 1, "")
+        holder.begin(0, 1, ("a", "b"))
         holder.out.clear()
     one.claim(0, 0, "x", "n1", 10, "t1")
     one.claim(0, 0, "x", "n2", 10, "t2")
@@ -246,12 +259,12 @@
     disk = MemoryDisk(Random(1))
     log = Log(disk)
     log.begin("a#1", 1, [])
-    log.write([Begun(0, 1, ("a#1",), True, True), kept("x")], list)
+    log.write([Begun(0, 1, ("a#1",), True), kept("x")], list)
     first = len(disk.files["copies.1"][0])
     log.write([kept("y"), Shut(0, 1)], list)
     whole, inode = disk.files["copies.1"]
     written = Log(disk).load("a#1", (1,), print)
-    assert written == [Begun(0, 1, ("a#1",), True, True), kept("x"), kept("y"), Shut(0, 1)]
+    assert written == [Begun(0, 1, ("a#1",), True), kept("x"), kept("y"), Shut(0, 1)]
     holder = Holder("a#1")
     holder.restore(written)
     assert holder.part(0).whole and holder.part(0).sealed and set(holder.part(0).records) == {"x", "y"}
@@ -272,7 +285,8 @@
     monkeypatch.setattr(store, "SEGMENT", 200)
     disk = MemoryDisk(Random(1))
     log, holder = Log(disk), Holder("a#1")
-    holder.begin(0, 1, ("a#1",), fresh=True)
+    holder.bring(0, 1, "")
+    holder.begin(0, 1, ("a#1",))
     log.begin("a#1", 1, [])
     for until in range(1, 41):
         holder.claim(0, 0, f"i{until}", "n1", until, None)
