Copies wired: claims of once-only and referenced flows, placed by who leads, judged in the rig

Change: [fleet.copies] in the operator file. fleet/placing.py (the leader's part: views in the log, dead holders left out at once, copies made up a few parts at a time, parts without any copy refused), fleet/binding.Claims (flows wait for their claim, put aside; nothing of it without the table), comparison of holders by buckets of their ends (what a change of view left at some holders alone came to no other: seen in the rig as unlike digests), rig: clients that say an id again elsewhere, copies whole and alike as a judge.

--- a/cypresswalk/copies/claims.py
+++ b/cypresswalk/copies/claims.py
@@ -12,15 +12,18 @@
 C3 words of another view change nothing; C4 a holder that is not whole answers nothing; C5 what is held stays until its time."""
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from heapq import heappop, heappush
 from typing import Any
 
-from cypresswalk.copies.words import (Begun, Bring, Brought, Copied, Copy, Fetch, Fetched, Got, Kept, PartWord, Record, Seal,
-                                      Sealed, Shut, Stand)
+from cypresswalk.copies.words import (Begun, Bring, Brought, Compare, Copied, Copy, Differs, Fetch, Fetched, Got, Kept, PartWord,
+                                      Record, Seal, Sealed, Shut, Stand, encode)
 
 MOST = 1_000_000        # ids in one part; beyond them claims are refused, none is forgotten
 PIECE = 4_000           # records in one answer to a fetch: some 300 KB
 UNDERWAY = 4_096        # records of one part that copies have not confirmed
+BUCKET = 34             # bits of nanoseconds: 17 s
+UNLIKE = 4              # buckets that one holder tells of at a time
 ASKERS = 64             # that wait for one id at a time
 
 
@@ -42,6 +45,7 @@
     brought: int = 0        # the view for which all was brought here, before it began
     records: dict[str, Record] = field(default_factory=dict)
     ends: list[tuple[int, str]] = field(default_factory=list)       # a heap: until when ids are held
+    sums: dict[int, int] = field(default_factory=dict)              # by bucket: what its records come to, in any order
     sure: set[str] = field(default_factory=set)     # ids that all holders of this view have, as this primary has seen since it started
     waiting: dict[int, Copying] = field(default_factory=dict)
     copying: dict[str, int] = field(default_factory=dict)           # ids on their way: the latest number
@@ -93,12 +97,28 @@
     def replace(self, part: Part, records: list[Record]) -> None:
         part.records = {record.ident: record for record in records}
         part.ends = sorted((record.until, record.ident) for record in records)
+        part.sums = {}
+        for record in records:
+            self.count(part, record)
 
     def put(self, part: Part, record: Record) -> None:
-        if record.ident not in part.records:
+        known = part.records.get(record.ident)
+        if known is None or known.until != record.until:
             heappush(part.ends, (record.until, record.ident))
+        if known is not None:
+            self.count(part, known)
+        self.count(part, record)
         part.records[record.ident] = record
 
+    def count(self, part: Part, record: Record) -> None:
+        """In or out: of what comes twice nothing stays."""
+        bucket = record.until >> BUCKET
+        total = part.sums.get(bucket, 0) ^ int.from_bytes(blake2b(encode(record), digest_size=7).digest(), "big")
+        if total:
+            part.sums[bucket] = total
+        else:
+            part.sums.pop(bucket, None)
+
     def seal(self, number: int, view: int) -> bool:
         """Nothing is granted in that view any more, nor copied. Whether this one is whole, so that others can begin from it. To be
         flushed before it is told."""
@@ -216,16 +236,45 @@
     def forget(self, now: int, part: Part) -> None:
         """Not while it is sealed: others fetch it piece by piece."""
         while part.ends and part.ends[0][0] < now and not part.sealed:
-            _, ident = part.ends[0]
+            until, ident = part.ends[0]
             if ident in part.copying:
                 return
             heappop(part.ends)
-            part.records.pop(ident, None)
-            part.sure.discard(ident)
+            record = part.records.get(ident)
+            if record is not None and record.until <= until:
+                self.count(part, part.records.pop(ident))
+                part.sure.discard(ident)
+
+    # What a change of view left at some holders alone was never granted; still they are to be alike, so that what is unlike tells.
+
+    def compare(self, number: int) -> None:
+        part = self.part(number)
+        if self.leads(part):
+            for other in part.holders[1:]:
+                self.out.append(("send", other, Compare(number, part.view, dict(part.sums))))
+
+    def compared(self, now: int, source: str, part: Part, word: Compare) -> None:
+        # What ends about now goes at each holder by its own clock.
+        soon = now >> BUCKET
+        unlike = [b for b in part.sums.keys() | word.sums.keys() if b > soon and part.sums.get(b) != word.sums.get(b)]
+        for bucket in sorted(unlike)[:UNLIKE]:
+            records = [record for record in part.records.values() if record.until >> BUCKET == bucket]
+            self.out.append(("send", source, Differs(word.part, part.view, bucket, records[:PIECE])))
+
+    def differs(self, part: Part, word: Differs, at: int) -> None:
+        """The primary's word is the one that counts: what was granted, all have alike."""
+        theirs = {record.ident: record for record in word.records}
+        unlike = [record for ident, record in theirs.items() if ident not in part.records]
+        unlike += [record for record in part.records.values()
+                   if record.until >> BUCKET == word.bucket and theirs.get(record.ident) != record]
+        for record in unlike[:UNDERWAY - len(part.waiting)]:
+            if record.ident not in part.copying:
+                self.record(word.part, part, record, [], at)
 
     # Words between holders, and from who leads.
 
-    def heard(self, source: str, word: PartWord) -> None:
+    def heard(self, source: str, word: PartWord, now: int = 0, at: int = 0) -> None:
+        """`now`: wall time; `at`: the owner's clock."""
         part = self.part(word.part)
         match word:
             case Copy():
@@ -243,6 +292,10 @@
                         if part.copying.get(copying.record.ident) == word.number:
                             del part.copying[copying.record.ident]
                         self.settle(part, copying.record, copying.askers)
+            case Compare() if word.view == part.view and part.whole and not part.sealed and part.holders[:1] == (source,):
+                self.compared(now, source, part, word)
+            case Differs() if word.view == part.view and self.leads(part) and source in part.holders:
+                self.differs(part, word, at)
             case Fetch():
                 if part.sealed and part.whole and word.view == part.view + 1:
                     records = list(part.records.values())
@@ -250,7 +303,7 @@
                                                              records[word.offset:word.offset + PIECE])))
             case Fetched():
                 self.fetched(source, part, word)
-            case Seal():
+            case Seal() if word.view == part.view:      # one that is behind has nothing to say of it
                 sound = self.seal(word.part, word.view)
                 self.out.append(("send", source, Sealed(word.part, word.view, sound)))
             case Bring():
--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -7,7 +7,6 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from hashlib import blake2b
 from queue import Empty, SimpleQueue
 from threading import Event
 from typing import Any
@@ -17,7 +16,7 @@
 from cypresswalk.copies.claims import Holder
 from cypresswalk.copies.places import PARTS
 from cypresswalk.copies.store import Log, Lost
-from cypresswalk.copies.words import Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Sealed, Slow, encode
+from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Sealed, Slow
 
 log = logging.getLogger(__name__)
 MILLISECOND, SECOND = 1_000_000, 1_000_000_000
@@ -25,9 +24,9 @@
 AGAIN = 150 * MILLISECOND       # a copy that is not confirmed goes out once more
 SLOW = 700 * MILLISECOND        # and after so long who leads hears of it
 FORGET = SECOND
+COMPARE = 5 * SECOND            # between two comparisons of a part's holders
 DISK_AGAIN = 1.0                # seconds until a folder that failed is read anew
 STARTS = 3                      # that may have ended between the agreed log's start and this one's
-SKEW = 30 * SECOND              # by which two machines' wall clocks may differ: ids are held for so much longer
 AT_ONCE = 512                   # events taken before they are flushed
 
 
@@ -44,6 +43,7 @@
         self.sound = False              # what it has is what its disk has
         self.views: dict[int, tuple[int, tuple[str, ...]]] = {}      # as agreed
         self.sealed_at: dict[int, int] = {}
+        self.compare_at: dict[int, int] = {}
         self.local: list[AnyWord] = []  # of this member to itself
         self.tick_at = self.forget_at = 0
         self.again_at = 0               # when the folder is read anew
@@ -102,6 +102,7 @@
                     if view > self.views.get(number, (0,))[0]:
                         self.views[number] = view, tuple(holders)
                         self.claimer.primaries[number] = holders[0]
+                        self.compare_at[number] = now + COMPARE // 10
                         if self.sound:
                             self.holder.begin(number, view, tuple(holders))
             case ("identity", member, boot):
@@ -129,7 +130,7 @@
             case Bring() if word.view <= self.views.get(word.part, (0,))[0]:
                 self.counts["words_late"] += 1      # of a view that is agreed already
             case PartWord() if 0 <= word.part < PARTS:
-                self.holder.heard(source, word)
+                self.holder.heard(source, word, self.wall(), now)
             case _:
                 self.counts["words_odd"] += 1
 
@@ -145,6 +146,9 @@
                 late = self.holder.again(number, now - AGAIN)
                 if any(copying.since < now - SLOW for copying in part.waiting.values()):
                     said += [Slow(number, part.view, who) for who in sorted(late)]
+            if holders[0] == me and not part.waiting and now >= self.compare_at.get(number, 0):
+                self.compare_at[number] = now + COMPARE
+                self.holder.compare(number)
             if me in holders and part.view == view:
                 # Guards against parts that stay sealed, or lie at a holder that has not all, once who wanted that leads no more.
                 if not part.whole:
@@ -245,9 +249,9 @@
         for number in sorted(self.views):
             part = self.holder.part(number)
             if self.holder.me in self.views[number][1]:
-                digest = blake2b(digest_size=8)
-                for ident in sorted(part.records):
-                    digest.update(encode(part.records[ident]))
-                parts.append([number, part.view, part.whole, part.sealed, len(part.records), len(part.waiting), digest.hexdigest()])
+                total = 0
+                for count in part.sums.values():
+                    total ^= count
+                parts.append([number, part.view, part.whole, part.sealed, len(part.records), len(part.waiting), f"{total:014x}"])
         return {"sound": self.sound, "trouble": self.trouble, "parts": parts, "waiting": self.claimer.claims,
                 "ids": sum(len(p.records) for p in self.holder.parts.values()), "counts": dict(self.counts) | self.claimer.counts}
--- a/cypresswalk/copies/words.py
+++ b/cypresswalk/copies/words.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+SKEW = 30_000_000_000       # nanoseconds by which two machines' wall clocks may differ: ids are held for so much longer
+
 
 class Word(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """One message. Unknown trailing fields of a later version are passed over."""
@@ -44,6 +46,17 @@
     records: list[Record]
 
 
+class Compare(PartWord, frozen=True):
+    """By the primary: what its records come to, by BUCKET of the time until which they are held."""
+    sums: dict[int, int]
+
+
+class Differs(PartWord, frozen=True):
+    """To the primary: what a holder has in a bucket that does not come to the same."""
+    bucket: int
+    records: list[Record]
+
+
 # Between a claimer and the primary of a part.
 
 class Claim(Word, frozen=True):
@@ -96,7 +109,7 @@
     who: str
 
 
-AnyWord = Copy | Copied | Fetch | Fetched | Claim | Ended | Answered | Seal | Sealed | Bring | Brought | Slow
+AnyWord = Copy | Copied | Fetch | Fetched | Compare | Differs | Claim | Ended | Answered | Seal | Sealed | Bring | Brought | Slow
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -73,13 +73,18 @@
     left: list[str]
 
 
+class Place(Command, frozen=True):
+    """Parts of the ids, by number: the next view of each, and its holders, the primary first."""
+    parts: dict[int, tuple[int, tuple[str, ...]]]
+
+
 class Fence(Command, frozen=True):
     """The group begun by hand after most voters were lost: words of the groups named are not heard any more."""
     groups: list[str]
     what: str
 
 
-AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence
+AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place
 commands = msgspec.msgpack.Decoder(AnyCommand)
 encode = msgspec.msgpack.encode
 
@@ -114,6 +119,7 @@
     voters: list[str] = []
     left: list[str] = []
     fenced: list[str] = []
+    parts: dict[int, tuple[int, tuple[str, ...]]] = {}     # of the ids: the view of each, and its holders
 
 
 states = msgspec.msgpack.Decoder(State)
@@ -203,6 +209,11 @@
                 s.voters, s.left = voters, left
                 self.note(command.by, command.at, f"voters {', '.join(voters)}" + (f"; left {', '.join(left)}" if left else ""))
                 return True, "noted"
+            case Place(parts=parts):
+                # The next view of each and no other: two leaders that both looked at one view make one.
+                made = {part: place for part, place in parts.items() if place[0] == s.parts.get(part, (0,))[0] + 1}
+                s.parts = s.parts | made
+                return True, f"{len(made)} of {len(parts)}"
             case Fence(groups=groups, what=what):
                 s.fenced = [*s.fenced, *groups][-20:]
                 self.note(command.by, command.at, what[:500])
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -15,14 +15,15 @@
 
 import msgspec
 
+from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.agreed import Listed
 from cypresswalk.fleet.driver import Fleet
 from cypresswalk.fleet.member import View
 from cypresswalk.hosting import SettingsError, decode_settings
-from cypresswalk.model import ListForm, Server, State
+from cypresswalk.model import Flow, ListForm, Server, State
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config, read
-from cypresswalk.net.core import Core
+from cypresswalk.net.core import FAILED, Core, Session
 from cypresswalk.net.logs import event
 from cypresswalk.net.registry import Registry, server_number
 from cypresswalk.operator import FleetTable
@@ -93,6 +94,8 @@
         self.who = table.name
         self.settings: dict[str, Any] | None = None
         self.places = dict(core.customers)  # customers' numbers, which flows that are held count by
+        if self.fleet.copies is not None:
+            core.claims = Claims(core, self.fleet, post, table.copies.share)
         core.agreement = self
         core.lease = self.fleet.may_act
 
@@ -267,6 +270,60 @@
         self.core.reply(call, why)
 
 
+class Claims:
+    """Flows that must not run twice wait here for their claim: each is answered within a share of its setup target whatever the
+    holders do. Called by the deciding thread alone, but for what it hands to the copies' thread."""
+
+    def __init__(self, core: Core, fleet: Fleet, post: Callable[..., None], share: float):
+        self.core, self.fleet, self.post, self.share = core, fleet, post, share
+        self.waiting = 0
+        self.granted: dict[Flow, str] = {}      # under what name
+
+    def ask(self, now: int, session: Session) -> None:
+        flow = session.flow
+        span = max(int(flow.type.setup_target * self.share), 1)
+        left = min(span, max((flow.until - now) // 2, 0))
+        kind = flow.type
+        # Held while it may be under way, and a repeat of it come.
+        held = kind.window + max(flow.until - now, 0) + self.core.limits.longest
+        self.waiting += 1
+        self.core.counters.add("claims")
+
+        def reply(answer: Answer, by: str) -> None:
+            self.post(self.answered, session, answer, by)
+        self.fleet.copies.put("claim", ident_of(flow), held, self.fleet.now() + left, reply)
+
+    def answered(self, now: int, session: Session, answer: Answer, by: str) -> None:
+        self.waiting -= 1
+        core, flow = self.core, session.flow
+        core.counters.add("claims_" + answer.kind)
+        if answer.kind == "granted":
+            self.granted[flow] = by
+            if session.over:            # its client has left
+                self.finish(flow, "never")
+            elif core.close_at is not None and now >= core.close_at or not core.may_act():
+                core.end(now, session, core.come_back(flow))
+            else:
+                core.place(now, session)
+        elif session.over:
+            pass
+        elif answer.kind == "held" and answer.how != "never":
+            core.counters.add("flows_claimed_elsewhere")
+            core.end(now, session, FAILED)      # it runs, or may have run: not again, and no word that a repeat does no harm
+        else:
+            core.end(now, session, core.come_back(flow))
+
+    def finish(self, flow: Flow, how: str) -> None:
+        by = self.granted.pop(flow, None)
+        if by is not None:
+            self.fleet.copies.put("finish", ident_of(flow), by, how)
+
+
+def ident_of(flow: Flow) -> str:
+    """Sixteen digits however long the client's own was, the same at every balancer."""
+    return f"{flow.id:016x}"
+
+
 def as_listed(server: Server) -> Server:
     """What a list says of it, without what this balancer has learned."""
     return Server(id=server.id, zone=server.zone, cell=server.cell, weight=server.weight, since=server.since, state=server.state)
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -15,8 +15,10 @@
 
 from cypresswalk.agreement.node import Harmed, Kept, Timing
 from cypresswalk.agreement.store import Damaged, Foreign, Life, Store
+from cypresswalk.copies.words import Brought, Bundle, Sealed, Slow, Word as CopyWord
 from cypresswalk.fleet.links import STACK, Answers, Links
 from cypresswalk.fleet.member import About, Member, Strange, View
+from cypresswalk.fleet.placing import Placing
 from cypresswalk.fleet.words import PROTOCOL, Call, Hello, Result
 from cypresswalk.net.inbox import start_thread
 from cypresswalk.operator import FleetTable
@@ -27,6 +29,7 @@
 LOCK_AGAIN = 0.05           # seconds: the process before this one ends soon
 DISK_AGAIN, DISK_AGAIN_MOST = 1.0, 15.0     # seconds until a folder that failed is tried anew
 AT_ONCE = 256               # events taken before time passes and effects go out
+COPIES_END = 3.0            # seconds that the copies' thread may take to end
 TOOL_SPAN = 5.0             # seconds that a tool's call may take if it says nothing else
 
 
@@ -64,6 +67,12 @@
         self.ended = Event()
         self.links = Links(address(table.listen or table.address), table.fleet, lambda *event: self.queue.put(event),
                            self.queue.qsize, self.hello, self.group)
+        self.copies: Any = None
+        if table.copies is not None:
+            # Imported here alone: who keeps no copies pays nothing.
+            from cypresswalk.copies.driver import Copies
+            self.copies = Copies(self.disk, self.now, time.time_ns, self.send_copies, self.tell_leader,
+                                 lambda holds: self.queue.put(("holds", holds)))
         self.places: dict[str, str] = {}        # addresses that others named: one that just joined knows no members yet
         self.names = {where: name for name, where in table.first.items()}
 
@@ -74,6 +83,8 @@
 
     def start(self) -> None:
         start_thread(self.run, SECOND, STACK)
+        if self.copies is not None:
+            start_thread(self.copies.run, SECOND, STACK)
 
     def call(self, name: str, args: dict[str, Any], reply: Callable[[bool, Any], None], span: float) -> None:
         self.queue.put(("call", name, args, reply, span))
@@ -131,6 +142,9 @@
             if not self.over.is_set():
                 self.wait_out(pause)
                 pause = min(2 * pause, DISK_AGAIN_MOST)
+        if self.copies is not None:
+            self.copies.stop()
+            self.copies.ended.wait(COPIES_END)      # nothing is written once another process has the folder
         self.links.end()
         self.disk.unlock()
         self.ended.set()
@@ -221,8 +235,13 @@
         self.make(f"{self.table.name}#{self.chance.getrandbits(64):016x}", "", None)
 
     def make(self, ident: str, group: str, kept: Kept | None) -> None:
-        self.member = Member(self.about, ident, group, kept, self.now(), self.chance, self.check, self.own)
+        copies = self.table.copies
+        placing = Placing(ident, copies.copies, copies.least) if copies is not None else None
+        self.member = Member(self.about, ident, group, kept, self.now(), self.chance, self.check, self.own, placing)
         self.member.wipes, self.member.acts_on, self.inherited = self.wipes, self.acts_on, self.until
+        if self.copies is not None:
+            # Another incarnation holds nothing of what this one held.
+            self.copies.put("identity", ident, self.boot)
 
     def serve(self) -> None:
         queue = self.queue
@@ -250,6 +269,10 @@
         self.renew(member)
         while member.views:
             self.agreed(member.views.pop(0))
+        while member.placed:
+            views = member.placed.pop(0)
+            if self.copies is not None:
+                self.copies.put("placed", views)
 
     def renew(self, member: Member) -> None:
         until = max(member.lease_until(), self.inherited)
@@ -276,7 +299,21 @@
             if step.work is not None:
                 member.apply(self.now(), step.work)
 
+    def send_copies(self, to: str, bundle: Bundle) -> None:
+        """By the thread that keeps copies."""
+        member = self.member
+        if member is not None:
+            self.send(member, to, bundle)
+
+    def tell_leader(self, words: list) -> None:
+        self.queue.put(("to_leader", words))
+
     def send(self, member: Member, to: str, frame: object) -> None:
+        if isinstance(frame, CopyWord):
+            if to == member.id:
+                self.copies.put("words", to, [frame])
+                return
+            frame = Bundle([frame])
         if ":" in to:
             name, ident, where = self.names.get(to, ""), "", to
         else:
@@ -291,7 +328,17 @@
                 self.places[hello.id] = hello.address
                 while len(self.places) > 1000:
                     del self.places[next(iter(self.places))]
-                member.heard(now, hello.id, frame)
+                if isinstance(frame, Bundle):
+                    self.bundled(now, member, hello.id, frame)
+                else:
+                    member.heard(now, hello.id, frame)
+            case ("holds", holds):
+                member.holds, member.ask_at = holds, now
+            case ("to_leader", words):
+                if member.leads:
+                    member.holder_said(now, member.id, words)
+                elif member.leader:
+                    self.send(member, member.leader, Bundle(words))
             case ("tool", _, Call() as frame, answers):
                 self.tool(now, member, frame, answers)
             case ("call", name, args, reply, span):
@@ -308,12 +355,24 @@
                 except Exception as error:
                     log.info("event=leadership_kept why=%s", error)
 
+    def bundled(self, now: int, member: Member, source: str, bundle: Bundle) -> None:
+        if self.copies is None:
+            return
+        to_leader = [word for word in bundle.words if isinstance(word, Sealed | Brought | Slow)]
+        if to_leader:
+            member.holder_said(now, source, to_leader)
+        if len(to_leader) < len(bundle.words):
+            self.copies.put("words", source, [word for word in bundle.words if not isinstance(word, Sealed | Brought | Slow)])
+
     def tool(self, now: int, member: Member, frame: Call, answers: Answers) -> None:
         def reply(ok: bool, body: Any) -> None:
             answers.send(Result(frame.number, ok, body))
         if frame.name == "local":
             reply(True, self.local(now, member))
             return
+        if frame.name == "copies_local" and self.copies is not None:
+            self.copies.put("tell", reply)
+            return
         args = dict(frame.args)
         try:
             span = min(max(float(args.pop("span", TOOL_SPAN)), 0.1), 600.0)
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -19,9 +19,11 @@
 from cypresswalk.agreement.log import Snapshot
 from cypresswalk.agreement.node import Busy, Kept, Node, Role, Timing, Work
 from cypresswalk.agreement.words import DATA, Entry, Member as One, Members, Word
+from cypresswalk.copies.words import SKEW
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.agreed import Agreed, AnyCommand
 from cypresswalk.fleet.leases import Given, Held
+from cypresswalk.fleet.placing import Placing
 from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, Result
 
 log = logging.getLogger(__name__)
@@ -34,6 +36,7 @@
 CALLS = 1000                    # waiting here at a time; beyond them a call is refused at once
 COMPACT = 512                   # entries agreed since the last snapshot: it is taken anew
 BEHIND = 16                     # entries that one may lack and count as caught up
+WAITS_MOST = 20                 # times the longest connect timeout: the longest that a client may ask for (net/core.py)
 MEMBERS = 207                   # seven voters and two hundred that follow
 VOTERS = 7
 Reply = Callable[[bool, Any], None]
@@ -96,7 +99,7 @@
 
 class Member:
     def __init__(self, about: About, ident: str, group: str, kept: Kept | None, now: int, chance: Random,
-                 check: Callable[[dict], str], own: dict[str, Any] | None = None):
+                 check: Callable[[dict], str], own: dict[str, Any] | None = None, placing: Placing | None = None):
         """`check`: why this balancer could not act on those settings, or nothing. `own`: those of its file, offered where the
         fleet has none yet. Raises msgspec.DecodeError where what was kept is no state."""
         self.about, self.id, self.group, self.chance, self.check, self.own = about, ident, group, chance, check, own
@@ -125,6 +128,9 @@
         self.led_before = False
         self.views: list[View] = []
         self.viewed: tuple | None = None
+        self.placing = placing                                  # where copies of claims lie, if this balancer keeps any
+        self.holds = False
+        self.placed: list[dict[int, tuple[int, tuple[str, ...]]]] = []     # views of parts, for whoever keeps copies here
         if kept is not None:
             self.start(kept, now)
 
@@ -201,6 +207,8 @@
         settling, self.settling = self.settling, []
         for _, _, reply in settling:
             reply(False, {"why": "another leads now; ask again", "again": True})
+        if self.placing is not None:
+            self.placing.turned(now)
         self.tend_at = now
         log.info("event=%s term=%d member=%s", "leading" if self.leads else "following", self.node.term, self.id)
 
@@ -317,7 +325,7 @@
         offer = pending.offer if pending else ""
         objection = self.check(pending.settings)[:300] if pending else ""
         generation, digest, _ = self.list_told
-        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes)
+        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds)
         if self.leads:
             self.asked(now, self.id, ask)
         else:
@@ -333,6 +341,8 @@
             self.objections[source] = ask.offer, ask.objection
         self.reports[source] = ask.generation, ask.digest
         self.wiped[source] = ask.wipes
+        if self.placing is not None:
+            self.placing.holds(source, ask.holds)
         try:
             self.node.read(now, ("lease", source, ask.number))
         except Busy:
@@ -359,6 +369,7 @@
             self.tend_offer(now)
             self.tend_list(now)
             self.tend_members(now)
+            self.tend_copies(now)
         except Busy:
             pass        # at the next look
 
@@ -409,10 +420,34 @@
         if wanted is not None:
             self.node.change(now, wanted)
 
+    def tend_copies(self, now: int) -> None:
+        s = self.agreed.state
+        if self.placing is None or self.node.log.term(self.node.commit) != self.node.term:
+            return      # what leaders before it agreed on is not all known here
+        proposals, sends = self.placing.tend(now, self.members, s.parts, s.left, lambda ident: self.hears(now, ident),
+                                             longest_held(s.settings))
+        self.sends += sends
+        if proposals:
+            self.propose(now, state.Place(f"place:{self.chance.getrandbits(64):016x}", self.about.name, 0, proposals))
+
+    def hears(self, now: int, ident: str) -> bool:
+        peer = self.node.peers.get(ident)
+        return ident == self.id or peer is not None and now - peer.heard_at < FRESH
+
+    def holder_said(self, now: int, source: str, words: list) -> None:
+        """To who leads, of copies."""
+        if self.leads and self.placing is not None:
+            for word in words:
+                self.placing.heard(now, source, word, self.agreed.state.parts)
+            self.tend_at = now
+
     def next_members(self, now: int, members: Members, desired: list[str]) -> Members | None:
         """The next step, one at a time, towards who should vote and who should be there."""
         newest = {m.name: m for m in members}       # a later incarnation stands behind an earlier one
         gone = [m for m in members if m.name in self.agreed.state.left or newest[m.name] is not m]
+        # One that leaves stays while copies lie there alone or with others: they are taken elsewhere first.
+        held = {h for _, there in self.agreed.state.parts.values() for h in there}
+        gone = [m for m in gone if newest[m.name] is not m or m.voter or m.id not in held or not self.hears(now, m.id)]
         if any(not m.voter for m in gone):
             return tuple(m for m in members if m.voter or m not in gone)
         # All that wait at once: a change goes to every member, and two hundred that start together would make two hundred.
@@ -498,8 +533,10 @@
 
     def lead_call(self, now: int, name: str, args: dict[str, Any], reply: Reply) -> None:
         try:
-            if name in ("status", "show", "history"):
+            if name in ("status", "show", "history", "copies"):
                 self.node.read(now, ("call", name, reply))
+            elif name == "copies_renew":
+                self.renew_parts(now, [int(part) for part in args["parts"]], str(args["by"]), reply)
             elif name == "settled":
                 if len(self.settling) >= CALLS:
                     raise Busy("too many calls wait")
@@ -521,6 +558,17 @@
         command = kinds[name](**args)
         return msgspec.convert(msgspec.to_builtins(command), type(command))
 
+    def renew_parts(self, now: int, parts: list[int], by: str, reply: Reply) -> None:
+        """An operator's word that parts without any copy may begin with nothing: what was claimed there may run again."""
+        if self.placing is None:
+            raise ValueError("no copies are kept here")
+        have = [part for part in parts if part not in self.placing.away]
+        if have or not parts:
+            raise ValueError(f"parts {have} have copies" if have else "no part named")
+        self.propose(now, state.Note(f"renew:{self.chance.getrandbits(64):016x}", by, 0, f"copies begun anew with nothing: {parts}"))
+        self.placing.renewed.update(parts)
+        reply(True, {"why": f"{len(parts)} parts begin anew"})
+
     def desire(self, name: str, args: dict[str, Any]) -> state.Desire:
         s, who = self.agreed.state, str(args["member"])
         voters, left = list(s.voters), list(s.left)
@@ -602,6 +650,7 @@
         if work.install is not None and work.install.index > self.applied:
             if work.install.data:
                 self.agreed = Agreed(work.install.data)
+                self.placed.append(self.agreed.state.parts)
             self.applied = work.install.index
         for index, entry in work.agreed:
             self.applied = index
@@ -621,6 +670,10 @@
             raise Strange(result[1])
         for reply in self.results.pop(command.ident, ()):
             self.answer(command, result, reply)
+        if isinstance(command, state.Place):
+            # Each view by itself: a holder that skipped one would not know that it has all.
+            self.placed.append({part: place for part, place in command.parts.items() if self.agreed.state.parts.get(part) == place})
+            self.tend_at = now
         if isinstance(command, state.Activate | state.Refuse):
             for reply in self.results.pop(f"end:{command.offer}", ()):
                 ok, why = result
@@ -662,6 +715,9 @@
                 "list_generation": s.list_generation, "list_version": s.list_version, "servers": s.servers,
                 "pending": msgspec.to_builtins(s.pending), "kept": s.kept}
 
+    def tell_copies(self, now: int) -> dict[str, Any]:
+        return self.placing.told(now, self.agreed.state.parts) if self.placing is not None else {"copies": 0}
+
     def tell_history(self, now: int) -> dict[str, Any]:
         return {"history": [msgspec.to_builtins(record) for record in self.agreed.state.history]}
 
@@ -679,4 +735,13 @@
         return {"group": self.group, "leader": self.id, "term": self.node.term, "index": self.node.commit,
                 "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
                 "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
-                "pending": msgspec.to_builtins(s.pending), "members": members}
+                "pending": msgspec.to_builtins(s.pending), "members": members,
+                "parts_without_copies": sorted(self.placing.away) if self.placing is not None else []}
+
+
+def longest_held(settings: dict[str, Any]) -> int:
+    """The longest time in nanoseconds for which an id is held under these settings, with the clocks' difference."""
+    kinds = settings.get("serviceTypes") or []
+    window = max((float(kind.get("window", 0.0)) for kind in kinds), default=0.0)
+    longest = max((float(kind.get("giveUp", 0.0)) for kind in kinds), default=0.0)
+    return int((window + (WAITS_MOST + 1) * longest) * 1_000_000) + 2 * SKEW
--- a/cypresswalk/fleet/words.py
+++ b/cypresswalk/fleet/words.py
@@ -11,6 +11,7 @@
 
 from cypresswalk.agreement.words import (Append, AppendAnswer, Disowned, Members, Piece, PieceAnswer, TakeOver, Vote, VoteAnswer,
                                          Word)
+from cypresswalk.copies.words import Bundle
 
 PROTOCOL = 1
 LARGEST = 8 << 20           # an append or piece and its envelope take 300 KB; a list of 20,000 servers 3 MB
@@ -72,6 +73,7 @@
     generation: int     # of the list that it was told by its own agent
     digest: bytes
     wipes: int          # how often its folder was found damaged or put back
+    holds: bool = False # copies of what others claimed
 
 
 class Grant(Word, frozen=True):
@@ -92,7 +94,7 @@
 
 
 AnyFrame = (Hello | Refused | Hail | HailAnswer | Found | Ask | Grant | Call | Result | Vote | VoteAnswer | Append | AppendAnswer
-            | Piece | PieceAnswer | TakeOver | Disowned)
+            | Piece | PieceAnswer | TakeOver | Disowned | Bundle)
 frames = msgspec.msgpack.Decoder(AnyFrame)
 encode = msgspec.msgpack.encode
 
--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -40,6 +40,8 @@
     lasts_s: float = Field(20, ge=1, le=3600)
     stated_s: float = Field(5, ge=1, le=60)
     flows_per_s: float = Field(30, ge=0, le=5000)
+    copies: int = Field(0, ge=0, le=7)          # of each claimed id; 0: none are kept
+    repeats: float = Field(0, ge=0, le=1)       # of once-only flows: said again under the same id, at once or later, elsewhere
     seed: int = 0
     clocks: dict[str, float] = {}       # balancers whose fleet's clock runs fast by that part, 0.01 for 1%
     step: list[Step] = []
--- a/cypresswalk/lab/together/started.py
+++ b/cypresswalk/lab/together/started.py
@@ -53,7 +53,9 @@
         fleet, off = self.binding.fleet, float(os.environ["TOGETHER_CLOCK"])
         fleet.disk = UnsoundDisk(table.folder, Path(os.environ["TOGETHER_DISK"]))
         began = driver.clock()
-        fleet.now = lambda: driver.clock() + int((driver.clock() - began) * off)
+        fleet.now = clock = lambda: driver.clock() + int((driver.clock() - began) * off)
+        if fleet.copies is not None:
+            fleet.copies.files, fleet.copies.now = fleet.disk, clock
 
 
 if __name__ == "__main__":
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -125,6 +125,7 @@
         self.agreement = None           # what balancers have agreed, where they do (cypresswalk/fleet/)
         self.lease: Callable[[], bool] | None = None        # there: whether this one may act now. Asked at each decision,
         # not by a timer: guards against a process that was frozen and wakes with a queue full of work.
+        self.claims = None              # ids that must not run twice lie on further machines (cypresswalk/copies/)
         self.drained = False            # by hand; stays so over an upgrade
         self.stopped = False
         self.hear(now)
@@ -164,6 +165,8 @@
             self.counters.add("flows_again")
         # Guards against running out of descriptors: nothing was sent, so a reject does no harm.
         beside = self.side.held if self.side is not None else 0
+        if self.claims is not None:
+            beside += self.claims.waiting
         if len(self.sessions) + beside >= self.limits.flows:
             self.counters.add("flows_beyond_sockets")
             self.end(now, session, BUSY)
@@ -172,8 +175,14 @@
             self.counters.add("flows_without_lease")
             self.end(now, session, self.come_back(flow))
             return
-        self.sessions[flow] = session
-        self.balancer.arrived(now, flow)
+        if self.claims is not None and flow.type.effect is not Effect.REPEATABLE:
+            self.claims.ask(now, session)
+            return
+        self.place(now, session)
+
+    def place(self, now: int, session: Session) -> None:
+        self.sessions[session.flow] = session
+        self.balancer.arrived(now, session.flow)
 
     def refuse(self, now: int, session: Session, why: str, **words: object) -> None:
         log.warning(event(why, **words))
@@ -217,6 +226,8 @@
         else:
             self.balancer.established(now, flow, now - leg.sent)
         session.standing = True
+        if self.claims is not None:
+            self.claims.finish(flow, "ran")
         self.counters.add("flows_established")
         self.figures.ended("fulfilled", session.opening.values["c"])
         self.drivers.join(leg)
@@ -247,6 +258,8 @@
         flow = session.flow
         if session.leg is not None and not session.standing:
             self.drivers.drop(session.leg)
+        if self.claims is not None and flow is not None and not session.standing:
+            self.claims.finish(flow, "never" if flow.may_have_run is None and session.leg is None else "unknown")
         if flow is not None and self.sessions.pop(flow, None) is not None:
             self.counters.add("flows_left")
             self.balancer.left(now, flow)
@@ -418,6 +431,8 @@
 
     def end(self, now: int, session: Session, line: bytes) -> None:
         session.over = True
+        if self.claims is not None and session.flow is not None:
+            self.claims.finish(session.flow, "never" if session.flow.may_have_run is None and session.leg is None else "unknown")
         if session.flow is not None:
             self.figures.ended("faulted" if line == FAILED else "throttled", session.opening.values["c"])
         self.drivers.answer(session, line)
--- a/cypresswalk/operator.py
+++ b/cypresswalk/operator.py
@@ -46,6 +46,19 @@
     every_s: float = Field(5, ge=0.2, le=600)       # between two generations
 
 
+class CopiesTable(toml.Table):
+    """`[fleet.copies]`: ids of flows that must not run twice lie on further machines (docs/operators/fleet.md)."""
+    copies: int = Field(3, ge=1, le=7)          # holders of each part of the ids, in as many zones as there are
+    least: int = Field(2, ge=1, le=7)           # fewer holders grant nothing
+    share: float = Field(0.5, gt=0, le=1)       # of a flow's setup target: so long it waits for its claim
+
+    @model_validator(mode="after")
+    def fits(self) -> "CopiesTable":
+        if self.least > self.copies:
+            raise ValueError("least: more than copies")
+        return self
+
+
 class FleetTable(toml.Table):
     """`[fleet]`: balancers that agree (docs/operators/fleet.md)."""
     fleet: Name                         # the same at all its balancers
@@ -57,6 +70,7 @@
     stated_s: float = Field(5, ge=1, le=60)         # no two act on contradicting versions for longer
     without_lease: Literal["refuse", "hold"] = "refuse"
     listen: Place | None = None         # where it listens, if that is not `address`
+    copies: CopiesTable | None = None
     via: dict[Name, Place] = {}         # where it reaches others, if not at their own addresses
 
     @model_validator(mode="after")
