--- a/cypresswalk/copies/claims.py
+++ b/cypresswalk/copies/claims.py
@@ -6,7 +6,7 @@
 holders of the view before, or fetched everything from one that was sealed.
 
 How it is called: `begin`, `seal`, `bring` set the views; `claim`, `ended`, `heard` say what comes; `out` holds what to do, in
-order: ("write", value) flushed before anything behind it, ("send", to, word), ("answer", token, answer).
+order: ("write", value) flushed before anything behind it, ("send", to, word), ("leader", word), ("answer", token, answer).
 
 Invariants: C1 an id is granted to one claimer, over all views; C2 a grant is at all holders of its view, flushed, before it is said;
 C3 words of another view change nothing; C4 a holder that is not whole answers nothing; C5 what is held stays until its time."""
@@ -331,6 +331,8 @@
             self.replace(part, records)
             part.brought, part.whole = view, part.whole or late
             self.out.append(("write", Got(number, view, records, late)))
+            # At once, and not at the next word from who leads: the part grants nothing meanwhile.
+            self.out.append(("leader", Brought(number, view)))
 
     # After a start.
 
--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -16,7 +16,7 @@
 from cypresswalk.copies.claims import Holder
 from cypresswalk.copies.places import PARTS
 from cypresswalk.copies.store import Log, Lost
-from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Sealed, Slow
+from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Ping, Pong, Sealed, Slow
 
 log = logging.getLogger(__name__)
 MILLISECOND, SECOND = 1_000_000, 1_000_000_000
@@ -24,6 +24,7 @@
 AGAIN = 150 * MILLISECOND       # a copy that is not confirmed goes out once more
 SLOW = 700 * MILLISECOND        # and after so long who leads hears of it
 FORGET = SECOND
+PING = 2 * SECOND               # under what the links wait before they dial anew
 COMPARE = 5 * SECOND            # between two comparisons of a part's holders
 DISK_AGAIN = 1.0                # seconds until a folder that failed is read anew
 STARTS = 3                      # that may have ended between the agreed log's start and this one's
@@ -45,7 +46,7 @@
         self.sealed_at: dict[int, int] = {}
         self.compare_at: dict[int, int] = {}
         self.local: list[AnyWord] = []  # of this member to itself
-        self.tick_at = self.forget_at = 0
+        self.tick_at = self.forget_at = self.ping_at = 0
         self.again_at = 0               # when the folder is read anew
         self.trouble = ""
         self.counts: Counter[str] = Counter()
@@ -117,6 +118,10 @@
         match word:
             case Answered():
                 self.claimer.heard(now, word)
+            case Ping():
+                self.send(source, Bundle([Pong()]))
+            case Pong():
+                pass
             case _ if not self.sound:
                 self.counts["words_unsound"] += 1
             case Claim():
@@ -137,6 +142,10 @@
     def tick(self, now: int) -> None:
         if self.identity is not None and not self.sound and now >= self.again_at:
             self.begin(now)
+        if now >= self.ping_at and self.identity is not None:
+            self.ping_at = now + PING
+            for primary in sorted(set(self.claimer.primaries.values()) - {self.identity[0]}):
+                self.send(primary, Bundle([Ping()]))
         if not self.sound:
             return
         me, said = self.holder.me, []
@@ -227,6 +236,8 @@
                 if what == "send":
                     to, word = words
                     sends[to].append(word)
+                elif what == "leader":
+                    self.to_leader(words)
                 elif what == "answer":
                     (to, number), answer = words
                     sends[to].append(Answered(number, answer.kind, answer.by, answer.how, answer.why))
--- a/cypresswalk/copies/words.py
+++ b/cypresswalk/copies/words.py
@@ -83,6 +83,14 @@
     why: str
 
 
+class Ping(Word, frozen=True):
+    """Keeps a way open: a claim has no time to wait for a dial."""
+
+
+class Pong(Word, frozen=True):
+    pass
+
+
 # Between who leads and holders.
 
 class Seal(PartWord, frozen=True):
@@ -109,7 +117,7 @@
     who: str
 
 
-AnyWord = Copy | Copied | Fetch | Fetched | Compare | Differs | Claim | Ended | Answered | Seal | Sealed | Bring | Brought | Slow
+AnyWord = Copy | Copied | Fetch | Fetched | Compare | Differs | Claim | Ended | Answered | Seal | Sealed | Bring | Brought | Slow | Ping | Pong
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/cypresswalk/fleet/links.py
+++ b/cypresswalk/fleet/links.py
@@ -40,17 +40,20 @@
         self.size = 0
         self.used_at = time.monotonic_ns()
         self.ended = False
+        self.kept: bytes | None = None      # what is to go first on the next connection
+        self.gate = Lock()
 
     def send(self, data: bytes) -> None:
         self.used_at = time.monotonic_ns()
-        while self.queue.qsize() >= WAITING or self.size > WAITING_SIZE:
-            try:
-                self.size -= len(self.queue.get_nowait())
-                self.links.counts["words_dropped"] += 1
-            except Empty:
-                break
-        self.size += len(data)
-        self.queue.put(data)
+        with self.gate:
+            while self.queue.qsize() >= WAITING or self.size > WAITING_SIZE:
+                try:
+                    self.size -= len(self.queue.get_nowait())
+                    self.links.counts["words_dropped"] += 1
+                except Empty:
+                    break
+            self.size += len(data)
+            self.queue.put(data)
 
     def run(self) -> None:
         pause = PAUSE
@@ -61,7 +64,8 @@
             except (OSError, FrameError) as error:
                 self.links.lost(self, error)
                 pause = min(2 * pause, PAUSE_MOST)
-            if not self.ended:
+            # A way on which nothing was heard for a while is dialled anew at once: what waits there has little time.
+            if not self.ended and self.kept is None:
                 time.sleep(pause / SECOND)
 
     def connection(self) -> None:
@@ -80,12 +84,15 @@
                 self.look(sock, frames)
                 now = time.monotonic_ns()
                 if self.links.group() != group or now - max(since, self.links.heard_at.get(self.to, 0)) > UNHEARD and self.to:
-                    self.queue.put(data)
+                    self.kept = data
                     return
                 sock.sendall(data)
 
     def next(self) -> bytes | None:
         """None once nothing was to be sent for a while, or at the end."""
+        if self.kept is not None:
+            data, self.kept = self.kept, None
+            return data
         try:
             data = self.queue.get(timeout=IDLE / 2 / SECOND)
         except Empty:
@@ -94,7 +101,8 @@
             return None
         if data is None:
             return None
-        self.size -= len(data)
+        with self.gate:
+            self.size -= len(data)
         return data
 
     def look(self, sock: socket.socket, frames: Frames) -> None:
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -432,7 +432,8 @@
 
     def hears(self, now: int, ident: str) -> bool:
         peer = self.node.peers.get(ident)
-        return ident == self.id or peer is not None and now - peer.heard_at < FRESH
+        # Voters are beaten five times as often.
+        return ident == self.id or peer is not None and now - peer.heard_at < (FRESH // 2 if ident in self.node.voters else FRESH)
 
     def holder_said(self, now: int, source: str, words: list) -> None:
         """To who leads, of copies."""
@@ -674,6 +675,10 @@
             # Each view by itself: a holder that skipped one would not know that it has all.
             self.placed.append({part: place for part, place in command.parts.items() if self.agreed.state.parts.get(part) == place})
             self.tend_at = now
+            if self.leads:
+                # Those that only follow would hear at their next beat that it is agreed, and claims there wait for them.
+                for peer in self.node.peers.values():
+                    peer.beat_at = min(peer.beat_at, now)
         if isinstance(command, state.Activate | state.Refuse):
             for reply in self.results.pop(f"end:{command.offer}", ()):
                 ok, why = result
--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -648,6 +648,8 @@
         if self.plan.copies:
             status, copies = await self.copies_whole()
             broken += [] if copies else [f"copies are not whole again: {json.dumps(status, default=str)[:1500]}"]
+            told = [await self.ask(n, "copies_local", span=1.0) for n in self.names]
+            (self.folder / "copies.json").write_text(json.dumps([body for _, body in told], default=str))
         answers = {kind: sum(f.answer == kind for f in self.flows) for kind in sorted({f.answer for f in self.flows})}
         return {"broken": broken, "longest_contradiction_s": round(longest / SECOND, 3), "stated_s": self.plan.stated_s,
                 "answers": answers, "calls": {"offers": sum(op.kind == "offer" for op in self.ops),
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -52,7 +52,7 @@
                 self.disks[name].append(rest[0])
             elif what == "send":
                 self.coming.append((name, *rest))
-            else:
+            elif what == "answer":
                 (ident, by), answer = rest
                 self.answers[answer.kind] += 1
                 if answer.kind == "granted":
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -35,7 +35,9 @@
         holder = self.holders[name]
         while holder.out:
             what, *rest = holder.out.pop(0)
-            if what == "answer":
+            if what == "leader":
+                self.placing.heard(self.now, name, rest[0], self.views)
+            elif what == "answer":
                 self.answers.append(rest[1].kind)
             elif what == "send" and rest[0] not in self.dead:
                 to, word = rest
