--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -87,6 +87,7 @@
         self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
+        self.dealt_until = 0                # until then no cold server is dealt anything
         self.to_ask: list[Server] = []      # probes that a flow waits for
         self.to_tell: list[tuple[Server, float]] = []
         self.probes: list[tuple[int, int, Server]] = []      # a heap, by the probe clock
@@ -175,6 +176,11 @@
             self.restart(now, server)
             self.next_look = now
 
+    def succeeds(self, now: int) -> None:
+        """A balancer was lost in whose place this one comes: what it spent of cold servers' budgets is not known, so
+        all of it counts as spent for its window."""
+        self.dealt_until = now + self.settings.fall_window
+
     def yield_budgets(self, now: int) -> None:
         """Another process of this balancer takes what is left of each cold server's budget."""
         for server in self.servers.values():
@@ -611,7 +617,7 @@
         """Rather than give up: a cold server that holds less than its present part of what warm ones
         have held here. Flows that stand for minutes say little by how many end in a window, which is what the
         budget is dealt by. Guards against cold servers that stand empty beside rejects."""
-        if not self.settings.moves:
+        if not self.settings.moves or now < self.dealt_until:
             return None
         for table, _ in self.pools():
             for server in self.walk(table, flow.key):
@@ -724,7 +730,7 @@
         that had joined stood empty. A key that makes up more of the flows here than the server of the fleet
         is let in that much less; one flow of it says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
-        if not cold:
+        if not cold or now < self.dealt_until:
             return
         s = self.settings
         seen = 1 - math.exp((self.started - now) / self.carried.tau)
--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -202,6 +202,79 @@
     click.echo(asked.command("offer", base=of_version(asked, None)[0], settings=values)["why"])
 
 
+@fleet.group(invoke_without_command=True)
+@click.option("--json", "plain", is_flag=True, help="As JSON.")
+@click.pass_context
+def copies(context: click.Context, plain: bool) -> None:
+    """Where the ids that must not run twice lie, which parts lack copies since when, how far making up is; `check`, `renew`."""
+    if context.invoked_subcommand is not None:
+        return
+    body = context.obj.call("copies")
+    if plain:
+        click.echo(json.dumps(body, indent=1))
+        return
+    if not body["copies"]:
+        raise Refusal("the leader keeps no copies: its operator file has no [fleet.copies]")
+    click.echo(f"{len(body['parts'])} parts, {body['copies']} copies asked for, {body['least']} needed; "
+               f"{len(body['lacking'])} lack copies, {len(body['changing'])} are being changed, {len(body['lost'])} have none left")
+    for part, view, holders in body["parts"]:
+        marks = [text for text, on in (
+            (f"LOST for {body['lost'].get(str(part), 0)} s: claims refused", str(part) in body["lost"]),
+            ("no copy heard", part in body["away"] and str(part) not in body["lost"]),
+            (f"lacks copies for {body['lacking'].get(str(part), 0)} s", str(part) in body["lacking"]),
+            ("being changed", str(part) in body["changing"])) if on]
+        click.echo(f"  part {part:<3} view {view:<4} " + ", ".join(h.partition("#")[0] for h in holders)
+                   + (f"  ({'; '.join(marks)})" if marks else ""))
+
+
+@copies.command("check")
+@click.pass_obj
+def copies_check(asked: Asked) -> None:
+    """Asks every holder and compares what they have. Exit code 1 if any part is not alike at all its holders, three times over."""
+    from time import sleep
+    for look in range(3):
+        unlike = compared(asked)
+        if not unlike:
+            click.echo("every part is whole and alike at all its holders")
+            return
+        sleep(2)        # claims go on: what is on its way to a copy differs for a moment
+    for line in unlike:
+        click.echo(line)
+    raise click.exceptions.Exit(1)
+
+
+def compared(asked: Asked) -> list[str]:
+    from cypresswalk.fleet import tool
+    status, body = asked.call("status"), asked.call("copies")
+    held: dict[int, dict[str, list]] = {}
+    unlike = []
+    for member in status["members"]:
+        try:
+            ok, local = tool.call([member["address"]], asked.fleet, "copies_local", None, asked.span)
+        except (tool.Unsure, Refusal) as error:
+            unlike.append(f"{member['name']}: {error}")
+            continue
+        for number, view, whole, shut, count, _, digest in local.get("parts", ()) if ok else ():
+            held.setdefault(number, {})[member["id"]] = [view, whole, shut, count, digest]
+    for part, view, holders in body["parts"]:
+        found = {h: held.get(part, {}).get(h) for h in holders}
+        if any(f is None or f[:3] != [view, True, False] for f in found.values()) or len({f[4] for f in found.values()}) > 1:
+            unlike.append(f"part {part}, view {view}: " + "; ".join(f"{h.partition('#')[0]} {f}" for h, f in found.items()))
+    return unlike
+
+
+@copies.command()
+@click.argument("parts", nargs=-1, type=int, required=True)
+@click.option("--yes", is_flag=True, help="Without asking.")
+@click.pass_obj
+def renew(asked: Asked, parts: tuple[int, ...], yes: bool) -> None:
+    """Lets parts of which no copy is left begin with nothing, before their time has passed: what was claimed there may run again."""
+    from cypresswalk.fleet import tool
+    if not yes:
+        click.confirm("Ids claimed in these parts within the last minutes may run a second time. Begin with nothing?", abort=True)
+    click.echo(asked.call("copies_renew", {"parts": list(parts), "by": tool.who()})["why"])
+
+
 @fleet.group()
 def server() -> None:
     """Servers out by hand, for all balancers."""
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -23,7 +23,7 @@
 from cypresswalk.model import Flow, ListForm, Server, State
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config, read
-from cypresswalk.net.core import FAILED, Core, Session
+from cypresswalk.net.core import FAILED, Core, Phase, Session
 from cypresswalk.net.logs import event
 from cypresswalk.net.registry import Registry, server_number
 from cypresswalk.operator import FleetTable
@@ -96,6 +96,8 @@
         self.places = dict(core.customers)  # customers' numbers, which flows that are held count by
         if self.fleet.copies is not None:
             core.claims = Claims(core, self.fleet, post, table.copies.share)
+            if core.phase is not Phase.STARTING:        # else the process before this one tells what it spent
+                core.balancer.succeeds(core.balancer.started)
         core.agreement = self
         core.lease = self.fleet.may_act
 
--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -68,25 +68,31 @@
     return toml.read(path, Plan)
 
 
-def drawn(seed: int, balancers: int = 5, voters: int = 3, lasts_s: float = 20, faults: int = 8) -> Plan:
-    """Faults and calls by chance, and everything lifted five seconds before the end. One disk is lost at most."""
+MADE_UP = 6.0       # seconds after a disk was lost until another may be: so long its copies and its place are made up
+
+
+def drawn(seed: int, balancers: int = 5, voters: int = 3, lasts_s: float = 20, faults: int = 8, copies: int = 0) -> Plan:
+    """Faults and calls by chance, and everything lifted five seconds before the end. One disk is lost at most; where copies of claims
+    are kept, one after another."""
     chance = Random(f"{seed}/together")
     names = [f"n{i}" for i in range(balancers)]
     steps = []
     down: set[str] = set()
-    lost = False
+    lost = 0.0
     for at in sorted(chance.uniform(1, lasts_s - 6) for _ in range(faults)):
         do = chance.choice(["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "freeze", "wipe", "stop", "half_close",
-                            "disk_full", "disk_fails", "lag", "server_restart"])
+                            "disk_full", "disk_fails", "lag", "server_restart"]
+                           + ["wipe", "wipe", "kill", "freeze"] * (copies > 0))
         who, other = chance.sample(names, 2)
         if chance.random() < 0.4:
             who = "leader"
-        if do in ("kill", "stop", "wipe") and (len(down) >= (voters - 1) // 2 or do == "wipe" and lost):
+        again = copies > 0 and at > lost + MADE_UP      # what was lost or away is made up
+        if do in ("kill", "stop", "wipe") and not again and (len(down) >= (voters - 1) // 2 or do == "wipe" and lost > 0):
             do = "freeze"
         if do in ("kill", "stop"):
             down.add(who)
             steps.append(Step(at_s=round(at + chance.uniform(0.5, 3), 2), do="start", who=who))
-        lost = lost or do == "wipe"
+        lost = at if do == "wipe" or copies and do in ("kill", "stop") else lost
         steps.append(Step(at_s=round(at, 2), do=do, who="" if do in NOBODY else who, other=other if do in PAIRS else "",
                           ms=chance.choice((200, 900, 3000)), server=2 + chance.randrange(2) if do == "server_restart" else 0))
     for _ in range(faults):
@@ -94,4 +100,5 @@
         steps.append(Step(at_s=round(chance.uniform(1, lasts_s - 6), 2), do=do, who=chance.choice(names), server=chance.randrange(2)))
     steps.append(Step(at_s=lasts_s - 5, do="heal"))
     clocks = {chance.choice(names): chance.choice((0.01, -0.01))}
-    return Plan(balancers=balancers, voters=voters, lasts_s=lasts_s, seed=seed, clocks=clocks, step=sorted(steps, key=lambda s: s.at_s))
+    return Plan(balancers=balancers, voters=voters, lasts_s=lasts_s, seed=seed, clocks=clocks, copies=copies,
+                repeats=0.6 if copies else 0, flows_per_s=60 if copies else 30, step=sorted(steps, key=lambda s: s.at_s))
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.binding import Binding, objection, shared
 from cypresswalk.fleet.member import View
 from cypresswalk.lab.balancers import free_port
@@ -38,7 +39,7 @@
 class Bound:
     """A core with the fleet's word beside its own, and no fleet behind it."""
 
-    def __init__(self, tmp_path, *entries):
+    def __init__(self, tmp_path, *entries, copies=None):
         file = tmp_path / "config.json"
         file.write_text(json.dumps(config_data(entries)))
         config = build({"PROXY_CONFIG": str(file)}, config_data(entries))
@@ -47,7 +48,8 @@
         self.registry = Registry(config.zones)
         _, known = self.registry.decode(config.known)
         self.core.listed(self.now, ListForm.CACHED, known)
-        table = FleetTable(fleet="f", name="n0", address="127.0.0.1:9", folder=str(tmp_path / "kept"), first={"n0": "127.0.0.1:9"})
+        table = FleetTable(fleet="f", name="n0", address="127.0.0.1:9", folder=str(tmp_path / "kept"), first={"n0": "127.0.0.1:9"},
+                           copies=copies)
         self.binding = Binding(table, config, self.core, lambda *what: self.posted.append(what), lambda: self.registry)
         self.binding.fleet.told_list = lambda *what: self.told.append(what)
         self.binding.fleet.started.set()
@@ -187,3 +189,72 @@
     assert told.wait(6)
     fleet.stop()
     assert fleet.ended.wait(5)
+
+
+def claimed(tmp_path) -> Bound:
+    bound = Bound(tmp_path, listed("s-1"), copies={})
+    bound.claims = []
+    bound.binding.fleet.copies.put = lambda *what: bound.claims.append(what)
+    return bound
+
+
+def answer(bound, kind, how="", which=0):
+    _, _, _, _, reply = bound.claims[which]
+    reply(Answer(kind, "n9#1/1.1", how), "n0#1/1.1")
+    call, *words = bound.posted.pop()
+    call(bound.now, *words)
+    bound.core.pull(bound.now)
+
+
+def test_a_flow_that_must_not_run_twice_waits_for_its_claim_and_others_do_not(tmp_path):
+    bound = claimed(tmp_path)
+    bound.open("r1")
+    assert len(bound.drivers.connects) == 1 and not bound.claims        # a repeatable one pays nothing
+    session = bound.open("o1", "book")
+    assert len(bound.drivers.connects) == 1 and bound.binding.core.claims.waiting == 1
+    what, ident, held, until, _ = bound.claims[0]
+    kind = session.flow.type
+    assert what == "claim" and len(ident) == 16 and held >= kind.window
+    assert until - bound.binding.fleet.now() <= kind.setup_target // 2
+    answer(bound, "granted")
+    assert len(bound.drivers.connects) == 2
+    leg = bound.drivers.connects[-1][0]
+    bound.core.up(bound.now, leg)
+    assert bound.claims[1] == ("finish", ident, "n0#1/1.1", "ran")
+
+
+@pytest.mark.parametrize("kind, how, line", [
+    ("held", "out", b"ERR\r\n"), ("held", "ran", b"ERR\r\n"), ("held", "unknown", b"ERR\r\n"),
+    ("held", "never", b"BUSY 200\r\n"), ("refused", "", b"BUSY 200\r\n")])
+def test_what_is_held_elsewhere_is_answered_as_the_rules_allow(kind, how, line, tmp_path):
+    bound = claimed(tmp_path)
+    bound.core.balancer.settings.retry_after, bound.core.balancer.settings.max_retry_after = True, 10**9
+    session = bound.open("o1", "book")
+    session.flow.type.setup_target = 200_000_000
+    answer(bound, kind, how)
+    assert bound.drivers.answers == [line] and not bound.drivers.connects and bound.core.claims.waiting == 0
+
+
+def test_a_client_that_leaves_while_its_claim_is_out_has_it_ended_as_never(tmp_path):
+    bound = claimed(tmp_path)
+    session = bound.open("o1", "book")
+    bound.core.left(bound.now, session)
+    answer(bound, "granted")
+    assert not bound.drivers.connects and bound.claims[1][0::3] == ("finish", "never")
+    session = bound.open("o2", "book")
+    answer(bound, "granted", which=2)
+    bound.core.left(bound.now, session)         # its connect is out: nobody knows
+    assert bound.claims[3][0::3] == ("finish", "unknown")
+
+
+def test_one_in_a_lost_balancers_place_counts_cold_budgets_as_spent_for_their_window(tmp_path):
+    admitted = {}
+    for copies in (None, {}):
+        bound = Bound(tmp_path, listed("s-1"), copies=copies)
+        server = bound.core.balancer.servers[server_number("s-1")]
+        server.since = bound.now
+        first = [bound.open(f"r{i}").flow for i in range(10)]
+        bound.now += bound.core.balancer.settings.fall_window
+        later = [bound.open(f"q{i}").flow for i in range(10)]
+        admitted[copies is None] = [sum(server in flow.admitted for flow in flows) for flows in (first, later)]
+    assert admitted[False][0] == 0 < admitted[True][0] and admitted[False][1] > 0
