Bounds on balancers and servers out at once, agreed in the log; a bound on ids held

Change: `bounds` among the agreed settings; `drain-on`, `set-down` and `fleet server down` are checked by the agreed state machine against what was granted, what who leads sees out and what the list drains; ERR says who is out; drain-on-here by force, recorded; a place is free once its balancer was seen out and is seen ready (rollout/bounds.py, fleet/agreed.Leave, Member.tend_away). Without bounds nothing asks. Copies: most_ids at each holder, refused beyond; a slow disk among the rig's faults; `fleet copies` tried by a test.

--- a/benchmarks/copies_cost.py
+++ b/benchmarks/copies_cost.py
@@ -75,7 +75,7 @@
 
 
 def member(table: str) -> None:
-    """Reads what to do from its input: `claim N SECONDS` with so many out at a time, `fill N`."""
+    """Reads what to do from its input: `claim N SECONDS [ID]` with so many out at a time, `fill N`."""
     fleet = Fleet(FleetTable(**json.loads(table)), lambda settings: "", {"serviceTypes": []}, lambda view: fleet.acted(view.version),
                   lambda: None)
     fleet.copies.__class__ = Filled
@@ -85,10 +85,11 @@
         if what == "fill":
             fleet.copies.put("fill", int(words[0]))
         elif what == "claim":
-            claim(fleet, int(words[0]), float(words[1]))
+            claim(fleet, int(words[0]), float(words[1]), *words[2:])
 
 
-def claim(fleet: Fleet, out: int, seconds: float) -> None:
+def claim(fleet: Fleet, out: int, seconds: float, ident: str = "") -> None:
+    """`ident`: one that all ask for; or "part", ids that fall into one part."""
     took: list[float] = []
     kinds: dict[str, int] = {}
     ends, gate = time.monotonic() + seconds, threading.Semaphore(0)
@@ -104,7 +105,12 @@
                 next_one(number + out)
             else:
                 gate.release()
-        fleet.copies.put("claim", f"{draw[:8]}{number:08x}", SECOND, fleet.now() + SECOND, reply)
+        asked = ident
+        if ident == "part":
+            at = number << 16
+            while part_of(asked := f"{draw[:4]}{at:012x}") != 7:
+                at += 1
+        fleet.copies.put("claim", asked or f"{draw[:8]}{number:08x}", SECOND, fleet.now() + SECOND, reply)
     for number in range(out):
         next_one(number)
     for _ in range(out):
@@ -160,13 +166,13 @@
                 members.whole(least=count)
                 time.sleep(8)       # joined ones take over their parts
                 members.whole(least=count)
-                for out in (1, 64):
+                for out, ident in ((1, ""), (64, ""), (64, "hot"), (64, "part")):
                     for name in members.names:
-                        members.say(name, f"claim {out} 5")
+                        members.say(name, f"claim {out} 5 {ident}")
                     found = [json.loads(members.running[name].stdout.readline()) for name in members.names]
-                    print(f"{count} members, {out} out at each: {sum(f['count'] for f in found) / 5:.0f} claims a second, "
+                    print(f"{count} members, {out} out at each {ident}: {sum(f['count'] for f in found) / 5:.0f} claims a second, "
                           f"p50 {statistics.median(f['p50'] for f in found):.2f} ms, p99 {max(f['p99'] for f in found):.1f} ms, "
-                          f"{[f['kinds'] for f in found][0]}", flush=True)
+                          f"{[f['kinds'] for f in found]}", flush=True)
                 local = tool.call([members.places["m0"]], "cost", "copies_local", None, 5.0)[1]
                 size = sum(f.stat().st_size for f in (Path(folder) / "m0").glob("copies.*"))
                 print(f"   m0 holds {local['ids']} ids, {size / max(local['ids'], 1):.0f} bytes on disk for each, "
--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -79,6 +79,12 @@
         click.echo(f"pending: an offer by {body['pending'][1]}")
     for name, (by, at) in sorted(body["out"].items()):
         click.echo(f"server {name} is out, by {by}")
+    for name, why in sorted(body["seen_out"].items()):
+        click.echo(f"balancer {name} is out: {why}")
+    for name, (by, _, why) in sorted(body["away"].items()):
+        click.echo(f"balancer {name} may be out: {why}, by {by}")
+    if body["parts_without_copies"]:
+        click.echo(f"no copy is heard of parts {body['parts_without_copies']}: `fleet copies`")
     for m in sorted(body["members"], key=lambda m: (not m["voter"], m["name"])):
         acts = "acts on nothing yet" if m["acts_on"] is None else f"acts on {m['acts_on']} for {m['since_s']:.1f} s"
         marks = [text for text, on in (("leads", m["leads"]), ("no lease", m["lapsed"]), (f"{m['behind']} entries behind", m["behind"] > 0),
--- a/cypresswalk/copies/claims.py
+++ b/cypresswalk/copies/claims.py
@@ -19,7 +19,8 @@
 from cypresswalk.copies.words import (Begun, Bring, Brought, Compare, Copied, Copy, Differs, Fetch, Fetched, Got, Kept, PartWord,
                                       Record, Seal, Sealed, Shut, Stand, encode)
 
-MOST = 1_000_000        # ids in one part; beyond them claims are refused, none is forgotten
+MOST = 1_000_000        # ids at one holder, 250 bytes each: beyond them a primary refuses claims; none is forgotten before its time
+SPILL = 2               # times that may come as copies from primaries that hold less
 PIECE = 4_000           # records in one answer to a fetch: some 300 KB
 UNDERWAY = 4_096        # records of one part that copies have not confirmed
 BUCKET = 34             # bits of nanoseconds: 17 s
@@ -63,8 +64,8 @@
 
 
 class Holder:
-    def __init__(self, me: str):
-        self.me = me
+    def __init__(self, me: str, most: int = MOST):
+        self.me, self.most, self.held = me, most, 0
         self.parts: dict[int, Part] = {}
         self.out: list[tuple[Any, ...]] = []
         self.numbers = 0
@@ -95,7 +96,9 @@
         part.view, part.holders, part.sealed, part.whole, part.sure = view, holders, False, whole, set()
 
     def replace(self, part: Part, records: list[Record]) -> None:
+        self.held -= len(part.records)
         part.records = {record.ident: record for record in records}
+        self.held += len(part.records)
         part.ends = sorted((record.until, record.ident) for record in records)
         part.sums = {}
         for record in records:
@@ -107,6 +110,8 @@
             heappush(part.ends, (record.until, record.ident))
         if known is not None:
             self.count(part, known)
+        else:
+            self.held += 1
         self.count(part, record)
         part.records[record.ident] = record
 
@@ -185,8 +190,8 @@
             else:
                 self.settle(part, known, [token], known.by == by)
             return
-        if len(part.records) >= MOST or len(part.waiting) >= UNDERWAY:
-            self.out.append(("answer", token, Answer("refused", why="too many ids in its part")))
+        if self.held >= self.most or len(part.waiting) >= UNDERWAY:
+            self.out.append(("answer", token, Answer("refused", why="too many ids are held there")))
             return
         self.record(number, part, Record(ident, by, until, "out"), [token], at)
 
@@ -243,6 +248,7 @@
             record = part.records.get(ident)
             if record is not None and record.until <= until:
                 self.count(part, part.records.pop(ident))
+                self.held -= 1
                 part.sure.discard(ident)
 
     # What a change of view left at some holders alone was never granted; still they are to be alike, so that what is unlike tells.
@@ -279,7 +285,8 @@
         match word:
             case Copy():
                 if (word.view == part.view and part.whole and not part.sealed and self.me in part.holders[1:]
-                        and source == part.holders[0]):
+                        and source == part.holders[0]
+                        and (self.held < SPILL * self.most or word.record.ident in part.records)):
                     self.put(part, word.record)
                     self.out.append(("write", Kept(word.part, word.record)))
                     self.out.append(("send", source, Copied(word.part, word.view, word.number)))
--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -13,7 +13,7 @@
 
 from cypresswalk.agreement.store import Files
 from cypresswalk.copies.claimer import Claimer
-from cypresswalk.copies.claims import Holder
+from cypresswalk.copies.claims import MOST, Holder
 from cypresswalk.copies.places import PARTS
 from cypresswalk.copies.store import Log, Lost
 from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Ping, Pong, Sealed, Slow
@@ -33,9 +33,10 @@
 
 class Copies:
     def __init__(self, files: Files, now: Callable[[], int], wall: Callable[[], int], send: Callable[[str, Bundle], None],
-                 to_leader: Callable[[list[AnyWord]], None], holds: Callable[[bool], None]):
+                 to_leader: Callable[[list[AnyWord]], None], holds: Callable[[bool], None], most: int = MOST):
         """`send` and `to_leader` never wait; `holds` is told when this holder begins to hold and when its disk has failed."""
         self.files, self.now, self.wall, self.send, self.to_leader, self.holds = files, now, wall, send, to_leader, holds
+        self.most = most
         self.queue: SimpleQueue = SimpleQueue()
         self.log = Log(files)
         self.holder = Holder("")
@@ -183,7 +184,7 @@
     def begin(self, now: int) -> None:
         """What the folder holds of this member, or nothing."""
         member, boot = self.identity
-        self.holder, self.sound, self.again_at = Holder(member), False, now + int(DISK_AGAIN * SECOND)
+        self.holder, self.sound, self.again_at = Holder(member, self.most), False, now + int(DISK_AGAIN * SECOND)
         self.log = Log(self.files)
         try:
             try:
@@ -193,7 +194,7 @@
             except Lost as error:
                 log.error("event=copies_lost member=%s why=%s", member, error)
                 self.counts["lost"] += 1
-                self.holder = Holder(member)
+                self.holder = Holder(member, self.most)
                 self.log.clear()
             self.log.begin(member, boot, self.holder.stands())
         except OSError as error:
@@ -210,7 +211,7 @@
     def fail(self, now: int, error: OSError) -> None:
         """Nothing of what was being written is said; all is read anew before another word."""
         self.sound, self.again_at = False, now + int(DISK_AGAIN * SECOND)
-        self.holder = Holder(self.holder.me)
+        self.holder = Holder(self.holder.me, self.most)
         self.local.clear()
         self.holds(False)
         self.say_trouble(error)
@@ -266,4 +267,4 @@
                     total ^= count
                 parts.append([number, part.view, part.whole, part.sealed, len(part.records), len(part.waiting), f"{total:014x}"])
         return {"sound": self.sound, "trouble": self.trouble, "parts": parts, "waiting": self.claimer.claims,
-                "ids": sum(len(p.records) for p in self.holder.parts.values()), "counts": dict(self.counts) | self.claimer.counts}
+                "ids": self.holder.held, "most": self.most, "counts": dict(self.counts) | self.claimer.counts}
--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from cypresswalk.rollout.bounds import why_not
+
 REMEMBERED = 512        # ids of commands carried out, with what came of them: a caller asks again within seconds
 HISTORY = 200           # records of who did what when
 SETTINGS_KEPT = 20      # settings that can be gone back to
@@ -44,7 +46,9 @@
 
 
 class Out(Command, frozen=True):
+    """`forced`: beyond the bounds too."""
     server: str
+    forced: bool = False
 
 
 class Back(Command, frozen=True):
@@ -73,6 +77,20 @@
     left: list[str]
 
 
+class Leave(Command, frozen=True):
+    """A balancer is to go out. `zones`: all members by name; `seen`: those that who leads takes for out, with why."""
+    name: str
+    why: str
+    forced: bool
+    zones: dict[str, str]
+    seen: dict[str, str]
+
+
+class Return(Command, frozen=True):
+    """It was seen ready again, or can no longer use its place."""
+    name: str
+
+
 class Place(Command, frozen=True):
     """Parts of the ids, by number: the next view of each, and its holders, the primary first."""
     parts: dict[int, tuple[int, tuple[str, ...]]]
@@ -84,7 +102,7 @@
     what: str
 
 
-AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place
+AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return
 commands = msgspec.msgpack.Decoder(AnyCommand)
 encode = msgspec.msgpack.encode
 
@@ -119,6 +137,7 @@
     voters: list[str] = []
     left: list[str] = []
     fenced: list[str] = []
+    away: dict[str, tuple[str, int, str]] = {}      # balancers that may go out or are: by whom, when, why
     parts: dict[int, tuple[int, tuple[str, ...]]] = {}     # of the ids: the view of each, and its holders
 
 
@@ -180,8 +199,11 @@
                     return True, f"out since version {s.version} or before"
                 if len(s.out) >= OUT_MOST:
                     return False, f"{OUT_MOST} servers are out already"
+                why = self.server_bound(server)
+                if why and not command.forced:
+                    return False, why
                 s.out[server] = command.by, command.at
-                self.next(command.by, command.at, f"server {server} out")
+                self.next(command.by, command.at, f"server {server} out" + (f" by force: {why}" if why else ""))
                 return True, f"version {s.version}"
             case Back(server=server):
                 if s.out.pop(server, None) is None:
@@ -209,6 +231,18 @@
                 s.voters, s.left = voters, left
                 self.note(command.by, command.at, f"voters {', '.join(voters)}" + (f"; left {', '.join(left)}" if left else ""))
                 return True, "noted"
+            case Leave(name=name, zones=zones, seen=seen):
+                gone = seen | {who: f"{why}, by {by}" for who, (by, _, why) in s.away.items() if who in zones}
+                why = why_not(s.settings.get("bounds", {}).get("balancers", {}), zones, gone, name)
+                if why and not command.forced:
+                    return False, why
+                s.away[name] = command.by, command.at, command.why
+                self.note(command.by, command.at, f"balancer {name} out ({command.why})" + (f" by force: {why}" if why else ""))
+                return True, "it may go out"
+            case Return(name=name):
+                if s.away.pop(name, None) is not None:
+                    self.note(command.by, command.at, f"balancer {name} back")
+                return True, "back"
             case Place(parts=parts):
                 # The next view of each and no other: two leaders that both looked at one view make one.
                 made = {part: place for part, place in parts.items() if place[0] == s.parts.get(part, (0,))[0] + 1}
@@ -219,6 +253,17 @@
                 self.note(command.by, command.at, what[:500])
                 return True, "noted"
 
+    def server_bound(self, server: str) -> str:
+        """Why that one may not go out besides those out by hand and by the list. Which the list takes out nobody here can stop: it
+        counts all the same."""
+        s = self.state
+        scopes = s.settings.get("bounds", {}).get("servers", {})
+        if not scopes:
+            return ""
+        out = {name: state for name, _, _, state, _, _ in s.servers if state != "ready"}
+        out |= {name: f"by {by}" for name, (by, _) in s.out.items()}
+        return why_not(scopes, {name: str(zone) for name, zone, *_ in s.servers}, out, server)
+
     def next(self, by: str, at: int, what: str) -> None:
         self.state.version += 1
         self.note(by, at, what)
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -18,7 +18,7 @@
 from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.agreed import Listed
 from cypresswalk.fleet.driver import Fleet
-from cypresswalk.fleet.member import View
+from cypresswalk.fleet.member import GO, View
 from cypresswalk.hosting import SettingsError, decode_settings
 from cypresswalk.model import Flow, ListForm, Server, State
 from cypresswalk.net.calls import Call
@@ -27,10 +27,11 @@
 from cypresswalk.net.logs import event
 from cypresswalk.net.registry import Registry, server_number
 from cypresswalk.operator import FleetTable
+from cypresswalk.rollout import bounds
 
 log = logging.getLogger(__name__)
 # Of the settings in the balancer's file, those that decide where flows may go and how many; the rest says who it is.
-SHARED = ("serviceTypes", "tenants", "limits", "rules", "deductions", "extra", "overagePayoff", "instances")
+SHARED = ("serviceTypes", "tenants", "limits", "rules", "deductions", "extra", "overagePayoff", "instances", "bounds")
 # What is built into the program at its start: another value there is refused, not half followed.
 FIXED = (("limits", "dialTimeout"), ("extra", "groups"), ("extra", "tellsLoad"), ("extra", "tellsDelay"))
 SPARE = 50_000_000          # nanoseconds beyond its share that a flow waits for word of its claim
@@ -67,6 +68,8 @@
             return "serviceTypes: giveUp must be above 0"
     except (SettingsError, KeyError, TypeError, ValueError, AttributeError) as error:
         return str(error) or type(error).__name__
+    if "bounds" in settings and (why := bounds.objection(settings["bounds"])):
+        return why
     if decoded.instances < 1 or decoded.max_connects < 1 or min(k.setup_target for k in decoded.service_types) <= 0:
         return "instances, maxConnects, setupTarget: each above 0"
     for part, name in FIXED:
@@ -99,6 +102,7 @@
             core.claims = Claims(core, self.fleet, post, table.copies.share)
             if core.phase is not Phase.STARTING:        # else the process before this one tells what it spent
                 core.balancer.succeeds(core.balancer.started)
+        self.fleet.ready = lambda: core.ready and self.fleet.may_act()
         core.agreement = self
         core.lease = self.fleet.may_act
 
@@ -228,6 +232,13 @@
 
     def takes(self, now: int, call: Call) -> bool:
         """Whether the answer comes from the fleet."""
+        if call.name == "drain-on" and self.bounded() and not self.core.drained:
+            self.ask_out(call, False)
+            return True
+        if call.name == "drain-on-here":
+            self.core.act(now, call)
+            self.fleet.call("go_out", self.out_args("drained by force at it alone", True), lambda ok, body: None, 600.0)
+            return True
         if call.name not in ("set-down", "set-up", "set-down-here", "set-up-here"):
             return False
         if not self.fleet.started.is_set():
@@ -246,6 +257,32 @@
         self.fleet.call("out" if call.name == "set-down" else "back", args, reply, CALL_SPAN)
         return True
 
+    def bounded(self) -> bool:
+        return bool((self.settings or {}).get("bounds", {}).get("balancers"))
+
+    def out_args(self, why: str, forced: bool) -> dict[str, Any]:
+        return {"ident": uuid.uuid4().hex, "by": f"{self.who} (call)", "at": time.time_ns() // 1_000_000, "member": self.who,
+                "why": why, "forced": forced}
+
+    def ask_out(self, call: Call, forced: bool) -> None:
+        """This balancer may go out only with the fleet's yes, and only at once: what it was granted is another's again later."""
+        if not self.fleet.started.is_set():
+            call.answers.put(b"ERR this process has no part in the fleet yet; call again in a moment\r\n")
+            return
+        asked = self.fleet.now()
+
+        def reply(ok: bool, body: Any) -> None:
+            self.post(self.may_go, call, asked, ok, body)
+        self.fleet.call("go_out", self.out_args("drained", forced), reply, CALL_SPAN)
+
+    def may_go(self, now: int, call: Call, asked: int, ok: bool, body: Any) -> None:
+        if not ok:
+            self.core.reply(call, f"not granted: {body.get('why', body) if isinstance(body, dict) else body}")
+        elif self.fleet.now() - asked > GO:
+            self.core.reply(call, "the grant came too late to be used; ask again")
+        else:
+            self.core.act(now, call)
+
     def agreed(self, now: int, call: Call, ok: bool, body: Any) -> None:
         """The yes comes after the fleet's and this balancer's own: it acts already on what it has agreed to."""
         if not ok:
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -36,6 +36,8 @@
 CALLS = 1000                    # waiting here at a time; beyond them a call is refused at once
 COMPACT = 512                   # entries agreed since the last snapshot: it is taken anew
 BEHIND = 16                     # entries that one may lack and count as caught up
+GO = 2 * SECOND                 # within which a balancer that may go out goes, or not at all
+UNUSED = 10 * SECOND            # a place that nobody was seen to use; clocks and asks included
 WAITS_MOST = 20                 # times the longest connect timeout: the longest that a client may ask for (net/core.py)
 MEMBERS = 207                   # seven voters and two hundred that follow
 VOTERS = 7
@@ -130,6 +132,10 @@
         self.viewed: tuple | None = None
         self.placing = placing                                  # where copies of claims lie, if this balancer keeps any
         self.holds = False
+        self.ready: Callable[[], bool | None] = lambda: None    # of this balancer, as its deciding thread has it
+        self.readiness: dict[str, tuple[bool | None, int]] = {} # at the leader, by member: what it last said, and when
+        self.away_since: dict[str, int] = {}                    # by name: when this leader first knew that it may go out
+        self.went: set[str] = set()                             # of these, those seen out since
         self.placed: list[dict[int, tuple[int, tuple[str, ...]]]] = []     # views of parts, for whoever keeps copies here
         if kept is not None:
             self.start(kept, now)
@@ -203,6 +209,7 @@
         """It leads now, or does no more."""
         self.given = Given(self.about.stated, now) if self.leads else None
         self.objections, self.reports, self.joining, self.acting, self.wiped = {}, {}, {}, {}, {}
+        self.readiness, self.away_since, self.went = {}, {}, set()
         self.results = {}
         settling, self.settling = self.settling, []
         for _, _, reply in settling:
@@ -325,7 +332,7 @@
         offer = pending.offer if pending else ""
         objection = self.check(pending.settings)[:300] if pending else ""
         generation, digest, _ = self.list_told
-        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds)
+        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready())
         if self.leads:
             self.asked(now, self.id, ask)
         else:
@@ -343,6 +350,9 @@
         self.wiped[source] = ask.wipes
         if self.placing is not None:
             self.placing.holds(source, ask.holds)
+        self.readiness[source] = ask.ready, now
+        if ask.ready is False:
+            self.went.add(source.partition("#")[0])
         try:
             self.node.read(now, ("lease", source, ask.number))
         except Busy:
@@ -370,6 +380,7 @@
             self.tend_list(now)
             self.tend_members(now)
             self.tend_copies(now)
+            self.tend_away(now)
         except Busy:
             pass        # at the next look
 
@@ -420,6 +431,41 @@
         if wanted is not None:
             self.node.change(now, wanted)
 
+    def seen_out(self, now: int) -> dict[str, str]:
+        """Members that are out whatever anybody granted, with why. What nobody can tell counts as out."""
+        out = {}
+        for m in self.members:
+            if m.name in self.agreed.state.left:
+                continue
+            said, at = self.readiness.get(m.id, (None, 0))
+            if m.id != self.id and not self.hears(now, m.id):
+                out[m.name] = "not heard"
+            elif said is None or now - at > self.about.stated:
+                out[m.name] = "has not said that it is ready"
+            elif not said:
+                out[m.name] = "not ready"
+            else:
+                out.pop(m.name, None)       # a later incarnation of one that was lost
+        return out
+
+    def tend_away(self, now: int) -> None:
+        """A place is free again once who had it was seen out and is seen ready; or, if it never went, once it can go no more: it goes
+        within GO of asking or not at all."""
+        s = self.agreed.state
+        self.away_since = {name: self.away_since.get(name, now) for name in s.away}
+        self.went &= set(s.away)
+        seen = self.seen_out(now)
+        self.went |= set(seen) & set(s.away)
+        for name, since in self.away_since.items():
+            ident = next((m.id for m in reversed(self.members) if m.name == name), "")
+            ready, at = self.readiness.get(ident, (None, 0))
+            if name not in seen and ready and (name in self.went or at - since > UNUSED):
+                self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
+                return
+        for name in set(s.away) - {m.name for m in self.members}:
+            self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
+            return
+
     def tend_copies(self, now: int) -> None:
         s = self.agreed.state
         if self.placing is None or self.node.log.term(self.node.commit) != self.node.term:
@@ -543,17 +589,21 @@
                     raise Busy("too many calls wait")
                 self.settling.append((int(args["version"]), now + 2 * self.about.stated, reply))
             else:
-                self.lead_command(now, self.command(name, args), reply)
+                self.lead_command(now, self.command(now, name, args), reply)
         except Busy as error:
             reply(False, {"why": str(error), "again": True})
         except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
             reply(False, {"why": f"{name}: {type(error).__name__} {error}", "unsure": False})
 
-    def command(self, name: str, args: dict[str, Any]) -> AnyCommand:
+    def command(self, now: int, name: str, args: dict[str, Any]) -> AnyCommand:
         """Raises ValueError where it could never be carried out."""
         kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew}
         if name in ("join", "leave", "replace"):
             return self.desire(name, args)
+        if name == "go_out":
+            zones = {m.name: m.zone for m in self.members if m.name not in self.agreed.state.left}
+            return state.Leave(str(args["ident"]), str(args["by"]), int(args["at"]), str(args["member"]), str(args["why"]),
+                               bool(args.get("forced")), zones, self.seen_out(now))
         if name not in kinds:
             raise ValueError("no such call")
         command = kinds[name](**args)
@@ -740,7 +790,8 @@
         return {"group": self.group, "leader": self.id, "term": self.node.term, "index": self.node.commit,
                 "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
                 "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
-                "pending": msgspec.to_builtins(s.pending), "members": members,
+                "pending": msgspec.to_builtins(s.pending), "members": members, "away": s.away, "seen_out": self.seen_out(now),
+                "bounds": s.settings.get("bounds", {}),
                 "parts_without_copies": sorted(self.placing.away) if self.placing is not None else []}
 
 
--- a/cypresswalk/fleet/words.py
+++ b/cypresswalk/fleet/words.py
@@ -76,6 +76,7 @@
     digest: bytes
     wipes: int          # how often its folder was found damaged or put back
     holds: bool = False # copies of what others claimed
+    ready: bool | None = None   # flows that came now would be placed; None: nobody has said
 
 
 class Grant(Word, frozen=True):
--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -9,9 +9,9 @@
 
 Do = Literal["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "start", "stop", "freeze", "thaw", "wipe", "put_back",
              "copy", "out", "back", "offer", "show", "server_down", "lag", "lie", "list_drain", "half_close", "disk_full", "disk_fails",
-             "server_restart"]
+             "disk_slow", "server_restart"]
 PAIRS = {"cut", "cut_one_way", "slow", "garble", "half_close"}
-DISKS = {"disk_full", "disk_fails"}     # until all is healed
+DISKS = {"disk_full", "disk_fails", "disk_slow"}     # until all is healed
 NOBODY = {"heal", "list_drain", "server_restart"}
 
 
--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -461,7 +461,7 @@
             case "half_close":
                 if proxy := self.proxies.get((who, other)):
                     proxy.impose(Kind.HALF_CLOSE, "up")
-            case "disk_full" | "disk_fails":
+            case "disk_full" | "disk_fails" | "disk_slow":
                 (p.folder / "disk").write_text(step.do)
             case "server_restart":
                 self.spawn(self.servers.restart(f"s-{step.server}"))
--- a/cypresswalk/lab/together/started.py
+++ b/cypresswalk/lab/together/started.py
@@ -1,11 +1,12 @@
 """The program as `service/` makes it, on a machine that is not sound: its part in the fleet has a disk that fills up or fails and a
 clock that runs fast or slow. Started by the rig in the program's place; the program itself knows nothing of it.
 
-TOGETHER_DISK names a file that says what the disk does now (`disk_full`, `disk_fails`; none: it is sound), TOGETHER_CLOCK the part by
+TOGETHER_DISK names a file that says what the disk does now (`disk_full`, `disk_fails`, `disk_slow`; none: it is sound), TOGETHER_CLOCK the part by
 which the clock runs fast."""
 
 import os
 import sys
+import time
 from pathlib import Path
 from random import Random
 
@@ -15,6 +16,9 @@
 from cypresswalk.state.disk import Disk
 
 
+SLOW = 2.0      # seconds that a write takes
+
+
 class UnsoundDisk(Disk):
     """A flush that fails leaves on disk what it likes of what it covered, and the next one succeeds without it."""
 
@@ -27,6 +31,9 @@
             word = self.says.read_text()
         except OSError:
             return None
+        if word == "disk_slow":
+            time.sleep(SLOW)
+            return None
         return OSError(28, "no space left on device") if word == "disk_full" else OSError(5, "input/output error")
 
     def put(self, name: str, data: bytes, how: int) -> None:
--- a/cypresswalk/net/calls.py
+++ b/cypresswalk/net/calls.py
@@ -7,7 +7,7 @@
 from cypresswalk.model import SECOND
 from cypresswalk.net.lines import NAME, Lines, ProtocolError
 
-PLAIN = frozenset((b"check", b"vars", b"drain-on", b"drain-off"))
+PLAIN = frozenset((b"check", b"vars", b"drain-on", b"drain-off", b"drain-on-here"))
 WITH_ID = frozenset((b"set-down", b"set-up", b"set-down-here", b"set-up-here"))     # the latter: where balancers agree
 
 
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -517,6 +517,9 @@
             return
         if self.agreement is not None and self.agreement.takes(now, call):
             return
+        self.act(now, call)
+
+    def act(self, now: int, call: Call) -> None:
         why = self.obey(now, call)
         if call.name == "check" or self.side is None or not self.side.forward(now, call, why):
             self.reply(call, why)
@@ -536,13 +539,13 @@
                     return None
                 return (f"{self.phase.value}, {self.placeable()} servers to place flows on"
                         + ("" if self.may_act() else ", no lease of the fleet's"))
-            case "set-down-here" | "set-up-here" if self.agreement is None:
+            case "set-down-here" | "set-up-here" | "drain-on-here" if self.agreement is None:
                 return "balancers agree on nothing here; set-down and set-up are this one's alone"
-            case "drain-on" | "drain-off" if self.phase is Phase.LEAVING:
+            case "drain-on" | "drain-on-here" | "drain-off" if self.phase is Phase.LEAVING:
                 return None if forwarded or self.side is not None and self.side.other else "this process is leaving"
-            case "drain-on" | "drain-off" if self.phase is Phase.STARTING:
-                self.drained = call.name == "drain-on"
-            case "drain-on":
+            case "drain-on" | "drain-on-here" | "drain-off" if self.phase is Phase.STARTING:
+                self.drained = call.name != "drain-off"
+            case "drain-on" | "drain-on-here":
                 self.drained = True
                 if self.phase is Phase.SERVING:
                     self.depart(now, Phase.DRAINED, self.limits.drain_first, self.limits.drain_span)
--- a/cypresswalk/operator.py
+++ b/cypresswalk/operator.py
@@ -50,6 +50,7 @@
     """`[fleet.copies]`: ids of flows that must not run twice lie on further machines (docs/operators/fleet.md)."""
     copies: int = Field(3, ge=1, le=7)          # holders of each part of the ids, in as many zones as there are
     least: int = Field(2, ge=1, le=7)           # fewer holders grant nothing
+    most_ids: int = Field(1_000_000, ge=1_000, le=20_000_000)   # here: 250 bytes of memory each, twice as many where others hold less
     share: float = Field(0.5, gt=0, le=1)       # of a flow's setup target: so long it waits for its claim
 
     @model_validator(mode="after")
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -222,6 +222,18 @@
     assert not again.part(0).whole and again.out[-1][2].kind == "again" and not again.seal(0, 1)
 
 
+def test_ids_beyond_the_bound_are_refused_and_none_is_dropped_before_its_time():
+    holder = Holder("a", most=5)
+    holder.bring(0, 1, "")
+    holder.begin(0, 1, ("a",))
+    for number in range(8):
+        holder.claim(10, 0, f"i{number}", "n1", 20, number)
+    kinds = [item[2].kind for item in holder.out if item[0] == "answer"]
+    assert kinds == ["granted"] * 5 + ["refused"] * 3 and holder.held == 5
+    holder.claim(21, 0, "late", "n1", 30, 9)
+    assert holder.out[-1][2].kind == "granted" and holder.held == 1
+
+
 def test_what_a_change_of_view_left_at_one_holder_alone_comes_to_all():
     three = [Holder(name) for name in "abc"]
     for holder in three:
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -146,6 +146,12 @@
         assert all(answer.startswith(("UP ", "BUSY ")) for answer in claimed), claimed
         assert sum(answer.startswith("UP ") for answer in claimed) > 0.8 * len(claimed)
         assert (await rig.copies_whole())[1]
+        words = [sys.executable, "-m", "cypresswalk", "fleet", "--at", "%s:%d" % rig.processes["n0"].fleet, "--fleet", "rig", "copies"]
+        told = [await asyncio.to_thread(subprocess.run, [*words, *more], cwd=ROOT, capture_output=True, text=True, timeout=30)
+                for more in ([], ["check"], ["renew", "5", "--yes"])]
+        assert told[0].returncode == 0 and told[0].stdout.startswith("64 parts, 3 copies asked for, 2 needed; 0 lack copies"), told
+        assert "part 63" in told[0].stdout and told[1].returncode == 0 and "alike" in told[1].stdout, told
+        assert told[2].returncode == 2 and "parts [5] have copies" in told[2].stderr, told     # nothing is thrown away that is there
     with_rig(tmp_path, test, balancers=3, stated_s=8, copies=3)
 
 
