Drains hold over restarts and lost machines; a halt; a cut-off batch is no damage later

Need: the yes to drain-on was kept by one process and its successor; a person must be able to stop all that goes out. Found while testing the copies' thread: a batch cut off at a start stood in a file that was no longer the last at the next start, and counted as damage there, so the holder threw away what it had (copies/store.load).

Change: who was drained by call starts drained, before its first lease, also on a new machine; `fleet halt | resume` through the agreed log, whoever leads; a new file names where the one before was cut; an unforeseen fault in the copies' thread has it read all anew.

--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -79,6 +79,8 @@
         click.echo(f"pending: an offer by {body['pending'][1]}")
     for name, (by, at) in sorted(body["out"].items()):
         click.echo(f"server {name} is out, by {by}")
+    if body["halted"]:
+        click.echo(f"HALTED by {body['halted'][0]}: {body['halted'][2]}; nothing more goes out until `fleet resume`")
     for name, why in sorted(body["seen_out"].items()):
         click.echo(f"balancer {name} is out: {why}")
     for name, (by, _, why) in sorted(body["away"].items()):
@@ -281,6 +283,21 @@
     click.echo(asked.call("copies_renew", {"parts": list(parts), "by": tool.who()})["why"])
 
 
+@fleet.command()
+@click.argument("why")
+@click.pass_obj
+def halt(asked: Asked, why: str) -> None:
+    """Nothing more goes out by any call, at any balancer, from the yes on, until `resume`. What is out may come back."""
+    click.echo(asked.command("halt", why=why)["why"])
+
+
+@fleet.command()
+@click.pass_obj
+def resume(asked: Asked) -> None:
+    """Ends a halt."""
+    click.echo(asked.command("resume")["why"])
+
+
 @fleet.group()
 def server() -> None:
     """Servers out by hand, for all balancers."""
--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -16,7 +16,7 @@
 from cypresswalk.copies.claims import MOST, Holder
 from cypresswalk.copies.places import PARTS
 from cypresswalk.copies.store import Log, Lost
-from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, PartWord, Ping, Pong, Sealed, Slow
+from cypresswalk.copies.words import SKEW, Answered, AnyWord, Bring, Brought, Bundle, Claim, Ended, Fetched, PartWord, Ping, Pong, Sealed, Slow
 
 log = logging.getLogger(__name__)
 MILLISECOND, SECOND = 1_000_000, 1_000_000_000
@@ -74,7 +74,12 @@
                     events.append(self.queue.get_nowait())
             except Empty:
                 pass
-            self.turn(events)
+            try:
+                self.turn(events)
+            except Exception:
+                # Guards against a record that stands in memory, and never came to the disk: all is read anew.
+                log.error("event=copies_fault", exc_info=True)
+                self.fail(self.now(), OSError(0, "a fault in this program"))
         self.claimer.give_up("this process hands over")
         self.ended.set()
 
@@ -237,7 +242,10 @@
             for what, *words in out:
                 if what == "send":
                     to, word = words
-                    sends[to].append(word)
+                    if isinstance(word, Fetched):
+                        self.send(to, Bundle([word]))       # long enough for a frame of its own
+                    else:
+                        sends[to].append(word)
                 elif what == "leader":
                     self.to_leader(words)
                 elif what == "answer":
--- a/cypresswalk/copies/store.py
+++ b/cypresswalk/copies/store.py
@@ -29,6 +29,7 @@
     member: str
     boot: int
     stands: list[Stand]
+    before: tuple[int, int] = (0, 0)    # a file that was cut off when this one was begun, and where
 
 
 heads = msgspec.msgpack.Decoder(Head)
@@ -47,6 +48,7 @@
         self.number, self.key, self.size = 0, b"", 0
         self.member, self.boot = "", 0
         self.ends: dict[int, int] = {}      # by file: until when its latest id is held
+        self.cut: tuple[int, int] = (0, 0)
 
     def numbers(self) -> list[int]:
         found = [name[len(PREFIX):] for name in self.files.names() if name.startswith(PREFIX)]
@@ -59,9 +61,13 @@
         Raises Lost, OSError."""
         written: list[Any] = []
         numbers = self.numbers()
-        self.number, self.ends = max(numbers, default=0), {}
+        self.number, self.ends, self.cut = max(numbers, default=0), {}, (0, 0)
         for number in numbers:
-            head, values, cut = self.read(number, number == numbers[-1])
+            head, values, sound, cut = self.read(number)
+            # What was cut off once stays there: the next file says so. Anywhere else it was whole once.
+            if self.cut != (0, 0) and head.before != self.cut:
+                raise Lost(f"{PREFIX}{self.cut[0]}: damaged at byte {self.cut[1]}")
+            self.cut = (number, sound) if cut else (0, 0)
             if number == numbers[-1] and (head.member, head.boot in boots) != (member, True):
                 raise Lost(f"{PREFIX}{number}: it is of {head.member}, start {head.boot}, not of {member}, start {boots[0]}")
             if not written:
@@ -72,7 +78,8 @@
                 told(f"{PREFIX}{number}: {cut} bytes of a batch that was never acknowledged are cut off")
         return written
 
-    def read(self, number: int, last: bool) -> tuple[Head, list[Any], int]:
+    def read(self, number: int) -> tuple[Head, list[Any], int, int]:
+        """Also how many bytes are sound, and how many are not."""
         name = f"{PREFIX}{number}"
         data = self.files.read(name, LARGEST)
         if data[:len(MAGIC)] != MAGIC:
@@ -81,7 +88,7 @@
         while at < len(data):
             found = record_at(data, at, key)
             if found is None:
-                if head is None or not last or not torn(data, at):
+                if head is None or not torn(data, at):
                     raise Lost(f"{name}: damaged at byte {at}")
                 break
             kind, body, key = found
@@ -95,7 +102,7 @@
             at += RECORD.size + len(body)
         if head is None:
             raise Lost(f"{name}: it ends before its head")
-        return head, values, len(data) - at
+        return head, values, at, len(data) - at
 
     # Writing.
 
@@ -105,12 +112,12 @@
             for number in self.numbers():
                 self.files.remove(f"{PREFIX}{number}")
             self.files.flush()
-            self.ends = {}
+            self.ends, self.cut = {}, (0, 0)
 
     def begin(self, member: str, boot: int, stands: list[Stand]) -> None:
         """A new file, at each start and after each SEGMENT bytes. Its name stands only once it is whole."""
         number = self.number + 1
-        body = encode(Head(1, member, boot, stands))
+        body = encode(Head(1, member, boot, stands, self.cut))
         data, key = sealed_record(first_key(number), HEAD, body)
         with Guard(self):
             self.files.write("copies", MAGIC + data)
@@ -118,7 +125,7 @@
             self.files.flush()
         self.number, self.key, self.size = number, key, len(data)
         self.member, self.boot = member, boot
-        self.ends[number] = 0
+        self.ends[number], self.cut = 0, (0, 0)
 
     def write(self, values: list[Any], stands: Callable[[], list[Stand]]) -> None:
         """Flushed when it returns."""
--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -91,6 +91,15 @@
     name: str
 
 
+class Halt(Command, frozen=True):
+    """Nothing more goes out, by any call, until a person resumes."""
+    why: str
+
+
+class Resume(Command, frozen=True):
+    pass
+
+
 class Place(Command, frozen=True):
     """Parts of the ids, by number: the next view of each, and its holders, the primary first."""
     parts: dict[int, tuple[int, tuple[str, ...]]]
@@ -102,7 +111,7 @@
     what: str
 
 
-AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return
+AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return | Halt | Resume
 commands = msgspec.msgpack.Decoder(AnyCommand)
 encode = msgspec.msgpack.encode
 
@@ -138,6 +147,7 @@
     left: list[str] = []
     fenced: list[str] = []
     away: dict[str, tuple[str, int, str]] = {}      # balancers that may go out or are: by whom, when, why
+    halted: tuple[str, int, str] | None = None      # by whom, when, why
     parts: dict[int, tuple[int, tuple[str, ...]]] = {}     # of the ids: the view of each, and its holders
 
 
@@ -199,6 +209,8 @@
                     return True, f"out since version {s.version} or before"
                 if len(s.out) >= OUT_MOST:
                     return False, f"{OUT_MOST} servers are out already"
+                if s.halted:
+                    return False, self.said_halted()
                 why = self.server_bound(server)
                 if why and not command.forced:
                     return False, why
@@ -234,11 +246,25 @@
             case Leave(name=name, zones=zones, seen=seen):
                 gone = seen | {who: f"{why}, by {by}" for who, (by, _, why) in s.away.items() if who in zones}
                 why = why_not(s.settings.get("bounds", {}).get("balancers", {}), zones, gone, name)
+                if s.halted:
+                    why = self.said_halted()
                 if why and not command.forced:
                     return False, why
                 s.away[name] = command.by, command.at, command.why
                 self.note(command.by, command.at, f"balancer {name} out ({command.why})" + (f" by force: {why}" if why else ""))
                 return True, "it may go out"
+            case Halt(why=why):
+                # The first one's word stands: who halts twice must not hide who halted.
+                if s.halted is None:
+                    s.halted = command.by, command.at, why[:200]
+                    self.note(command.by, command.at, f"halt: {why[:200]}")
+                return True, self.said_halted()
+            case Resume():
+                if s.halted is None:
+                    return True, "nothing was halted"
+                s.halted = None
+                self.note(command.by, command.at, "resumed")
+                return True, "resumed"
             case Return(name=name):
                 if s.away.pop(name, None) is not None:
                     self.note(command.by, command.at, f"balancer {name} back")
@@ -253,6 +279,10 @@
                 self.note(command.by, command.at, what[:500])
                 return True, "noted"
 
+    def said_halted(self) -> str:
+        by, _, why = self.state.halted
+        return f"halted by {by}: {why}"
+
     def server_bound(self, server: str) -> str:
         """Why that one may not go out besides those out by hand and by the list. Which the list takes out nobody here can stop: it
         counts all the same."""
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -18,7 +18,7 @@
 from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.agreed import Listed
 from cypresswalk.fleet.driver import Fleet
-from cypresswalk.fleet.member import GO, View
+from cypresswalk.fleet.member import CALLED_BACK, DRAINED, GO, View
 from cypresswalk.hosting import SettingsError, decode_settings
 from cypresswalk.model import Flow, ListForm, Server, State
 from cypresswalk.net.calls import Call
@@ -117,6 +117,11 @@
         """Raises nothing that would leave it half done: a view that can't be followed is not acted on, so no lease holds."""
         if view.version <= self.version:
             return
+        if self.version == 0 and self.who in view.away and not self.core.drained:
+            # Drained in its life before, or on the machine that this one replaces: the yes holds until drain-off. It has taken
+            # nothing until now, since it has no lease yet.
+            log.info(event("drained_still"))
+            self.core.obey(now, Call("drain-on"))
         if view.settings_version > self.settings_version:
             why = objection(self.params, view.settings)
             if why:
@@ -232,12 +237,17 @@
 
     def takes(self, now: int, call: Call) -> bool:
         """Whether the answer comes from the fleet."""
-        if call.name == "drain-on" and self.bounded() and not self.core.drained:
+        if call.name == "drain-on" and not self.core.drained:
             self.ask_out(call, False)
             return True
+        if call.name == "drain-off" and self.core.drained:
+            self.core.act(now, call)
+            # Its place is free once it is seen ready; until then a restart must not drain it anew.
+            self.fleet.call("go_out", self.out_args(CALLED_BACK, True), lambda ok, body: None, 600.0)
+            return True
         if call.name == "drain-on-here":
             self.core.act(now, call)
-            self.fleet.call("go_out", self.out_args("drained by force at it alone", True), lambda ok, body: None, 600.0)
+            self.fleet.call("go_out", self.out_args(f"{DRAINED} by force at it alone", True), lambda ok, body: None, 600.0)
             return True
         if call.name not in ("set-down", "set-up", "set-down-here", "set-up-here"):
             return False
@@ -257,9 +267,6 @@
         self.fleet.call("out" if call.name == "set-down" else "back", args, reply, CALL_SPAN)
         return True
 
-    def bounded(self) -> bool:
-        return bool((self.settings or {}).get("bounds", {}).get("balancers"))
-
     def out_args(self, why: str, forced: bool) -> dict[str, Any]:
         return {"ident": uuid.uuid4().hex, "by": f"{self.who} (call)", "at": time.time_ns() // 1_000_000, "member": self.who,
                 "why": why, "forced": forced}
@@ -273,7 +280,7 @@
 
         def reply(ok: bool, body: Any) -> None:
             self.post(self.may_go, call, asked, ok, body)
-        self.fleet.call("go_out", self.out_args("drained", forced), reply, CALL_SPAN)
+        self.fleet.call("go_out", self.out_args(DRAINED, forced), reply, CALL_SPAN)
 
     def may_go(self, now: int, call: Call, asked: int, ok: bool, body: Any) -> None:
         if not ok:
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -36,6 +36,8 @@
 CALLS = 1000                    # waiting here at a time; beyond them a call is refused at once
 COMPACT = 512                   # entries agreed since the last snapshot: it is taken anew
 BEHIND = 16                     # entries that one may lack and count as caught up
+DRAINED = "drained"             # so begins the reason of one that is to stay out until it is called back
+CALLED_BACK = "called back"
 GO = 2 * SECOND                 # within which a balancer that may go out goes, or not at all
 UNUSED = 10 * SECOND            # a place that nobody was seen to use; clocks and asks included
 WAITS_MOST = 20                 # times the longest connect timeout: the longest that a client may ask for (net/core.py)
@@ -77,6 +79,7 @@
     out: tuple[str, ...]
     list_version: int
     servers: tuple
+    away: tuple[str, ...] = ()      # balancers that were drained by call
 
 
 @dataclass(slots=True)
@@ -597,7 +600,8 @@
 
     def command(self, now: int, name: str, args: dict[str, Any]) -> AnyCommand:
         """Raises ValueError where it could never be carried out."""
-        kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew}
+        kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew,
+                 "halt": state.Halt, "resume": state.Resume}
         if name in ("join", "leave", "replace"):
             return self.desire(name, args)
         if name == "go_out":
@@ -760,7 +764,8 @@
         if self.applied < 0 or self.viewed == (s.version,):
             return
         self.viewed = (s.version,)
-        self.views.append(View(s.version, s.settings_version, s.settings, tuple(s.out), s.list_version, tuple(s.servers)))
+        self.views.append(View(s.version, s.settings_version, s.settings, tuple(s.out), s.list_version, tuple(s.servers),
+                               tuple(name for name, (_, _, why) in s.away.items() if why.startswith(DRAINED))))
 
     # What it tells.
 
@@ -791,7 +796,7 @@
                 "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
                 "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
                 "pending": msgspec.to_builtins(s.pending), "members": members, "away": s.away, "seen_out": self.seen_out(now),
-                "bounds": s.settings.get("bounds", {}),
+                "halted": s.halted, "bounds": s.settings.get("bounds", {}),
                 "parts_without_copies": sorted(self.placing.away) if self.placing is not None else []}
 
 
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -264,6 +264,20 @@
     assert bound.core.stopped
 
 
+def test_one_that_was_drained_stays_so_over_a_restart_or_a_lost_machine_until_it_is_called_back(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"))
+    bound.view(7, away=("n0", "n2"))
+    assert bound.core.drained and not bound.core.ready
+    bound.binding.fleet.call = lambda name, args, reply, span: bound.told.append((name, args["why"]))
+    bound.core.called(bound.now, Call("drain-off"))
+    assert bound.told[-1] == ("go_out", "called back")
+    bound.view(8, away=("n0",))         # word of it that is older than the call
+    assert not bound.core.drained and bound.core.ready
+    other = Bound(tmp_path, listed("s-1"))
+    other.view(7, away=("n2",))
+    assert not other.core.drained
+
+
 def test_one_in_a_lost_balancers_place_counts_cold_budgets_as_spent_for_their_window(tmp_path):
     admitted = {}
     for copies in (None, {}):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -99,6 +99,11 @@
         assert await asked(rig.processes[out].listen, "PING") == "ERR"
         assert (await asked(admin["n1"], "drain-on")).startswith("ERR not granted")
         assert await asked(admin[out], "drain-on") == "OK"           # twice is once
+        rig.kill(out)
+        rig.start(out)              # a yes to a drain holds over a restart
+        assert await rig.whole() is not None
+        assert await asked(rig.processes[out].listen, "PING") == "ERR"
+        assert (await asked(admin["n1"], "drain-on")).startswith("ERR not granted")
         assert await asked(admin[out], "drain-off") == "OK"
         await ready(rig)
         rig.kill("n4")              # by itself: a place that is not there any more
@@ -115,6 +120,23 @@
         assert await asked(admin["n1"], "set-down s-0") == "OK"
         assert "1 of 4 are out and 1 may be: s-0" in await asked(admin["n2"], "set-down s-1")
         assert await asked(admin["n2"], "set-up s-0") == "OK" and await asked(admin["n2"], "set-down s-1") == "OK"
+        # A halt outranks what the bounds would allow, and leaves the way back open.
+        assert await asked(admin["n2"], "set-up s-1") == "OK"
+        await rig.do(Step(at_s=0, do="heal"))
+        assert await rig.whole() is not None
+        await ready(rig)
+        told = await asyncio.gather(rig.command("n1", "halt", why="look at n4"), rig.command("n3", "halt", why="me too"))
+        assert [result for result, _ in told] == ["yes", "yes"] and told[0][1]["why"] == told[1][1]["why"]
+        rig.kill(await rig.leader())        # whoever leads next knows of it
+        other = next(name for name in ("n3", "n4") if rig.processes[name].popen is not None)
+        until = time.monotonic() + 10
+        while "halted by" not in (said := await asked(admin[other], "drain-on")) and time.monotonic() < until:
+            assert said.startswith("ERR")
+        assert "halted by rig: " in said and "halted by" in await asked(admin[other], "set-down s-2")
+        assert (await rig.command(other, "resume"))[0] == "yes"
+        await rig.do(Step(at_s=0, do="heal"))
+        assert await rig.whole() is not None
+        await ready(rig)
         # Where nothing can be agreed nothing is done.
         await rig.do(Step(at_s=0, do="isolate", who="n2"))
         assert (await asked(admin["n2"], "drain-on")).startswith("ERR not granted: the fleet did not answer")
