Releases: waves within the bounds, evidence, halt, back; an agent on each machine

Balancers tell who leads what they have served. Members that change keep their place until their agent has told.

--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -283,6 +283,103 @@
     click.echo(asked.call("copies_renew", {"parts": list(parts), "by": tool.who()})["why"])
 
 
+@fleet.group()
+def release() -> None:
+    """Changes balancers to another version, in waves, within the bounds, with a halt and a way back."""
+
+
+def planned(asked: Asked, path: str) -> dict[str, Any]:
+    from cypresswalk.rollout import plan
+    status = asked.call("status")
+    zones = {m["name"]: m["zone"] for m in status["members"] if m["name"] not in status["left"]}
+    return plan.read(path, zones)
+
+
+@release.command("plan")
+@click.argument("file")
+@click.pass_obj
+def release_plan(asked: Asked, file: str) -> None:
+    """Which balancers would be changed in which waves; nothing is begun."""
+    body = planned(asked, file)
+    click.echo(f"release {body[0]}: {body[1]} -> {body[2]}, each wave holds {body[4]:g} s")
+    for number, wave in enumerate(body[3]):
+        click.echo(f"  wave {number}: {', '.join(wave)}")
+
+
+@release.command()
+@click.argument("file")
+@click.pass_obj
+def start(asked: Asked, file: str) -> None:
+    """Begins it, unless another is under way."""
+    click.echo(asked.command("release_begin", plan=planned(asked, file))["why"])
+
+
+@release.command("status")
+@click.option("--json", "plain", is_flag=True, help="As JSON.")
+@click.pass_obj
+def release_status(asked: Asked, plain: bool) -> None:
+    """How far it is, what it waits for, and who is out."""
+    body = asked.call("release")
+    if plain:
+        click.echo(json.dumps(body, indent=1))
+        return
+    if not body["release"]:
+        click.echo("there is no release")
+        return
+    plan, by, _, phase, wave, members, said = body["release"]
+    click.echo(f"release {plan[0]} by {by}: {plan[1]} -> {plan[2]}, {phase}, wave {wave} of {len(plan[3])}"
+               + (f"; HALTED by {body['halted'][0]}: {body['halted'][2]}" if body["halted"] else ""))
+    if body["waits"]:
+        click.echo(f"  {body['waits']}")
+    for number, names in enumerate(plan[3]):
+        click.echo(f"  wave {number}: " + ", ".join(f"{name} {members[name]}" + (f" ({said[name]})" if said.get(name) else "")
+                                                    for name in names))
+
+
+@release.command()
+@click.pass_obj
+def pause(asked: Asked) -> None:
+    """Nothing more is begun until `resume`; what is being changed is finished."""
+    click.echo(asked.command("release_pause", on=True)["why"])
+
+
+@release.command("resume")
+@click.pass_obj
+def release_resume(asked: Asked) -> None:
+    """Goes on after a pause. After a halt `fleet resume` comes first."""
+    click.echo(asked.command("release_pause", on=False)["why"])
+
+
+@release.command("back")
+@click.pass_obj
+def release_back(asked: Asked) -> None:
+    """Every balancer that was changed goes back to the version before, within the bounds, the worst first; also while halted."""
+    click.echo(asked.command("release_back")["why"])
+
+
+@fleet.command(context_settings={"ignore_unknown_options": True})
+@click.option("--member", required=True, help="Its balancer's name in the fleet.")
+@click.option("--root", required=True, type=click.Path(exists=True, file_okay=False), help="Where versions stand, a folder each.")
+@click.option("--folder", required=True, type=click.Path(), help="Its own, for what it is doing.")
+@click.option("--first", required=True, help="The version to run if it has run none yet.")
+@click.option("--admin", nargs=2, required=True, help="Two addresses for calls, HOST:PORT: one for each of two processes side by side.")
+@click.argument("command", nargs=-1, required=True)
+@click.pass_obj
+def agent(asked: Asked, member: str, root: str, folder: str, first: str, admin: tuple[str, str], command: tuple[str, ...]) -> None:
+    """Runs a balancer by COMMAND in the folder of its version, and changes it when a release says so."""
+    import logging
+    import signal
+    from pathlib import Path
+    from cypresswalk.rollout.agent import Agent
+    logging.basicConfig(level=logging.INFO, format="ts=%(created).3f level=%(levelname)s %(message)s")
+    made = Agent(member, asked.fleet, asked.addresses, Path(root), Path(folder), first, admin, list(command))
+
+    def stop(*_: object) -> None:
+        made.over = True
+    signal.signal(signal.SIGTERM, stop)
+    made.run()
+
+
 @fleet.command()
 @click.argument("why")
 @click.pass_obj
--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cypresswalk.rollout import release as releases
 from cypresswalk.rollout.bounds import why_not
 
 REMEMBERED = 512        # ids of commands carried out, with what came of them: a caller asks again within seconds
@@ -100,6 +101,44 @@
     pass
 
 
+class Begin(Command, frozen=True):
+    """A release. `known`: all members by name."""
+    plan: releases.Plan
+    known: list[str]
+
+
+class Go(Command, frozen=True):
+    """The next balancer of the release may be changed. `zones`, `seen` as for Leave."""
+    name: str
+    zones: dict[str, str]
+    seen: dict[str, str]
+
+
+class Began(Command, frozen=True):
+    """By its agent, before it does anything."""
+    name: str
+    to: str
+
+
+class Came(Command, frozen=True):
+    """By its agent: which version runs now."""
+    name: str
+    runs: str
+    why: str
+
+
+class Held(Command, frozen=True):
+    wave: int
+
+
+class TurnBack(Command, frozen=True):
+    pass
+
+
+class Pause(Command, frozen=True):
+    on: bool
+
+
 class Place(Command, frozen=True):
     """Parts of the ids, by number: the next view of each, and its holders, the primary first."""
     parts: dict[int, tuple[int, tuple[str, ...]]]
@@ -111,7 +150,8 @@
     what: str
 
 
-AnyCommand = Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return | Halt | Resume
+AnyCommand = (Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return | Halt | Resume
+              | Begin | Go | Began | Came | Held | TurnBack | Pause)
 commands = msgspec.msgpack.Decoder(AnyCommand)
 encode = msgspec.msgpack.encode
 
@@ -147,6 +187,7 @@
     left: list[str] = []
     fenced: list[str] = []
     away: dict[str, tuple[str, int, str]] = {}      # balancers that may go out or are: by whom, when, why
+    release: releases.Release | None = None
     halted: tuple[str, int, str] | None = None      # by whom, when, why
     parts: dict[int, tuple[int, tuple[str, ...]]] = {}     # of the ids: the view of each, and its holders
 
@@ -244,8 +285,7 @@
                 self.note(command.by, command.at, f"voters {', '.join(voters)}" + (f"; left {', '.join(left)}" if left else ""))
                 return True, "noted"
             case Leave(name=name, zones=zones, seen=seen):
-                gone = seen | {who: f"{why}, by {by}" for who, (by, _, why) in s.away.items() if who in zones}
-                why = why_not(s.settings.get("bounds", {}).get("balancers", {}), zones, gone, name)
+                why = self.balancer_bound(name, zones, seen)
                 if s.halted:
                     why = self.said_halted()
                 if why and not command.forced:
@@ -254,10 +294,7 @@
                 self.note(command.by, command.at, f"balancer {name} out ({command.why})" + (f" by force: {why}" if why else ""))
                 return True, "it may go out"
             case Halt(why=why):
-                # The first one's word stands: who halts twice must not hide who halted.
-                if s.halted is None:
-                    s.halted = command.by, command.at, why[:200]
-                    self.note(command.by, command.at, f"halt: {why[:200]}")
+                self.halt(command.by, command.at, why)
                 return True, self.said_halted()
             case Resume():
                 if s.halted is None:
@@ -265,7 +302,11 @@
                 s.halted = None
                 self.note(command.by, command.at, "resumed")
                 return True, "resumed"
+            case Begin() | Go() | Began() | Came() | Held() | TurnBack() | Pause():
+                return self.on_release(command)
             case Return(name=name):
+                if s.release is not None:
+                    releases.returned(s.release, name)
                 if s.away.pop(name, None) is not None:
                     self.note(command.by, command.at, f"balancer {name} back")
                 return True, "back"
@@ -283,6 +324,57 @@
         by, _, why = self.state.halted
         return f"halted by {by}: {why}"
 
+    def balancer_bound(self, name: str, zones: dict[str, str], seen: dict[str, str]) -> str:
+        gone = seen | {who: f"{why}, by {by}" for who, (by, _, why) in self.state.away.items() if who in zones}
+        return why_not(self.state.settings.get("bounds", {}).get("balancers", {}), zones, gone, name)
+
+    def on_release(self, command: AnyCommand) -> tuple[bool, str]:
+        s, by, at = self.state, command.by, command.at
+        if isinstance(command, Begin):
+            begun, why = releases.begin(command.plan, by, at, s.release, command.known)
+            if begun is None:
+                return False, why
+            s.release = begun
+            self.note(by, at, why)
+            return True, why
+        now = s.release
+        if now is None:
+            return False, "there is no release"
+        match command:
+            case Go(name=name, zones=zones, seen=seen):
+                why = releases.may_go(now, name, s.halted is not None) or self.balancer_bound(name, zones, seen)
+                if not why:
+                    now.members[name] = "out"
+                    s.away[name] = by, at, f"release {now.plan.name}"
+            case Began(name=name, to=to):
+                why = releases.began(now, name, to, s.halted is not None)
+            case Came(name=name, runs=runs, why=told):
+                bad = releases.came(now, name, runs, told)
+                if bad:
+                    self.halt(f"release {now.plan.name}", at, bad)
+                self.note(by, at, f"{name} runs {runs or 'nothing'}: {now.members.get(name)}")
+                return True, bad or "noted"
+            case Held(wave=wave):
+                why = releases.held(now, wave)
+                if not why:
+                    self.note(by, at, f"release {now.plan.name}: wave {wave} has held" + (", done" if now.phase == "done" else ""))
+            case TurnBack():
+                why = releases.turn_back(now)
+                if not why:
+                    self.note(by, at, f"release {now.plan.name}: back")
+            case Pause(on=on):
+                why = "" if now.phase == ("running" if on else "paused") else f"the release is {now.phase}"
+                if not why:
+                    now.phase = "paused" if on else "running"
+                    self.note(by, at, f"release {now.plan.name}: {now.phase}")
+        return not why, why or "noted"
+
+    def halt(self, by: str, at: int, why: str) -> None:
+        # The first one's word stands: who halts twice must not hide who halted.
+        if self.state.halted is None:
+            self.state.halted = by, at, why[:200]
+            self.note(by, at, f"halt: {why[:200]}")
+
     def server_bound(self, server: str) -> str:
         """Why that one may not go out besides those out by hand and by the list. Which the list takes out nobody here can stop: it
         counts all the same."""
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -102,10 +102,23 @@
             core.claims = Claims(core, self.fleet, post, table.copies.share)
             if core.phase is not Phase.STARTING:        # else the process before this one tells what it spent
                 core.balancer.succeeds(core.balancer.started)
+        self.took = 0           # the sum of set-ups, nanoseconds
+        self.last_served = (0, 0, 0, 0)
+        self.fleet.served = self.served
         self.fleet.ready = lambda: core.ready and self.fleet.may_act()
         core.agreement = self
         core.lease = self.fleet.may_act
 
+    def served(self) -> tuple[int, int, int, int]:
+        """By the fleet's thread: what this process has answered since it began."""
+        counts = self.core.figures.counts
+        try:
+            up, rejected, failed = (sum(counts[end].values()) for end in ("fulfilled", "throttled", "faulted"))
+            self.last_served = up, rejected, failed, self.took
+        except RuntimeError:
+            pass        # a service type was added meanwhile
+        return self.last_served
+
     # The lease.
 
     def leased(self, now: int) -> None:
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -73,6 +73,7 @@
             from cypresswalk.copies.driver import Copies
             self.copies = Copies(self.disk, self.now, time.time_ns, self.send_copies, self.tell_leader,
                                  lambda holds: self.queue.put(("holds", holds)), table.copies.most_ids)
+        self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
         self.ready: Callable[[], bool | None] = lambda: None    # asked by the fleet's thread
         self.places: dict[str, str] = {}        # addresses that others named: one that just joined knows no members yet
         self.names = {where: name for name, where in table.first.items()}
@@ -239,7 +240,7 @@
         copies = self.table.copies
         placing = Placing(ident, copies.copies, copies.least) if copies is not None else None
         self.member = Member(self.about, ident, group, kept, self.now(), self.chance, self.check, self.own, placing)
-        self.member.ready = self.ready
+        self.member.ready, self.member.served = self.ready, self.served
         self.member.wipes, self.member.acts_on, self.inherited = self.wipes, self.acts_on, self.until
         if self.copies is not None:
             # Another incarnation holds nothing of what this one held.
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -24,7 +24,10 @@
 from cypresswalk.fleet.agreed import Agreed, AnyCommand
 from cypresswalk.fleet.leases import Given, Held
 from cypresswalk.fleet.placing import Placing
+from cypresswalk.fleet.releasing import Releasing
 from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, Result
+from cypresswalk.rollout.evidence import Served
+from cypresswalk.rollout.release import Plan
 
 log = logging.getLogger(__name__)
 SECOND = 1_000_000_000
@@ -136,6 +139,9 @@
         self.placing = placing                                  # where copies of claims lie, if this balancer keeps any
         self.holds = False
         self.ready: Callable[[], bool | None] = lambda: None    # of this balancer, as its deciding thread has it
+        self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
+        self.figures: dict[str, tuple[Served, int]] = {}        # at the leader, by name, and when
+        self.releasing = Releasing()
         self.readiness: dict[str, tuple[bool | None, int]] = {} # at the leader, by member: what it last said, and when
         self.away_since: dict[str, int] = {}                    # by name: when this leader first knew that it may go out
         self.went: set[str] = set()                             # of these, those seen out since
@@ -213,6 +219,7 @@
         self.given = Given(self.about.stated, now) if self.leads else None
         self.objections, self.reports, self.joining, self.acting, self.wiped = {}, {}, {}, {}, {}
         self.readiness, self.away_since, self.went = {}, {}, set()
+        self.figures, self.releasing = {}, Releasing()
         self.results = {}
         settling, self.settling = self.settling, []
         for _, _, reply in settling:
@@ -335,7 +342,7 @@
         offer = pending.offer if pending else ""
         objection = self.check(pending.settings)[:300] if pending else ""
         generation, digest, _ = self.list_told
-        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready())
+        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready(), self.served())
         if self.leads:
             self.asked(now, self.id, ask)
         else:
@@ -354,6 +361,7 @@
         if self.placing is not None:
             self.placing.holds(source, ask.holds)
         self.readiness[source] = ask.ready, now
+        self.figures[source.partition("#")[0]] = Served(*ask.served), now
         if ask.ready is False:
             self.went.add(source.partition("#")[0])
         try:
@@ -384,6 +392,7 @@
             self.tend_members(now)
             self.tend_copies(now)
             self.tend_away(now)
+            self.tend_release(now)
         except Busy:
             pass        # at the next look
 
@@ -462,6 +471,8 @@
         for name, since in self.away_since.items():
             ident = next((m.id for m in reversed(self.members) if m.name == name), "")
             ready, at = self.readiness.get(ident, (None, 0))
+            if s.release is not None and s.release.members.get(name) == "changing":
+                continue        # two processes stand side by side, and it is ready all the while
             if name not in seen and ready and (name in self.went or at - since > UNUSED):
                 self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
                 return
@@ -469,6 +480,25 @@
             self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
             return
 
+    def tend_release(self, now: int) -> None:
+        s = self.agreed.state
+        if s.release is None or self.node.log.term(self.node.commit) != self.node.term:
+            return
+        seen = self.seen_out(now)
+        served = {name: figures for name, (figures, at) in self.figures.items() if now - at <= self.about.stated}
+        do = self.releasing.tend(now, s.release, s.halted is not None, served, set(seen), set(s.away))
+        if do is None:
+            return
+        head = (f"release:{self.chance.getrandbits(64):016x}", f"release {s.release.plan.name}", 0)
+        match do.what:
+            case "go":
+                zones = {m.name: m.zone for m in self.members if m.name not in s.left}
+                self.propose(now, state.Go(*head, do.name, zones, seen))
+            case "held":
+                self.propose(now, state.Held(*head, do.wave))
+            case "halt":
+                self.propose(now, state.Halt(*head, do.why))
+
     def tend_copies(self, now: int) -> None:
         s = self.agreed.state
         if self.placing is None or self.node.log.term(self.node.commit) != self.node.term:
@@ -583,7 +613,7 @@
 
     def lead_call(self, now: int, name: str, args: dict[str, Any], reply: Reply) -> None:
         try:
-            if name in ("status", "show", "history", "copies"):
+            if name in ("status", "show", "history", "copies", "release"):
                 self.node.read(now, ("call", name, reply))
             elif name == "copies_renew":
                 self.renew_parts(now, [int(part) for part in args["parts"]], str(args["by"]), reply)
@@ -601,9 +631,14 @@
     def command(self, now: int, name: str, args: dict[str, Any]) -> AnyCommand:
         """Raises ValueError where it could never be carried out."""
         kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew,
-                 "halt": state.Halt, "resume": state.Resume}
+                 "halt": state.Halt, "resume": state.Resume, "release_began": state.Began, "release_came": state.Came, "release_back": state.TurnBack,
+                 "release_pause": state.Pause}
         if name in ("join", "leave", "replace"):
             return self.desire(name, args)
+        if name == "release_begin":
+            plan = msgspec.convert(args["plan"], Plan)
+            return state.Begin(str(args["ident"]), str(args["by"]), int(args["at"]), plan,
+                               sorted({m.name for m in self.members if m.name not in self.agreed.state.left}))
         if name == "go_out":
             zones = {m.name: m.zone for m in self.members if m.name not in self.agreed.state.left}
             return state.Leave(str(args["ident"]), str(args["by"]), int(args["at"]), str(args["member"]), str(args["why"]),
@@ -778,6 +813,12 @@
     def tell_copies(self, now: int) -> dict[str, Any]:
         return self.placing.told(now, self.agreed.state.parts) if self.placing is not None else {"copies": 0}
 
+    def tell_release(self, now: int) -> dict[str, Any]:
+        s = self.agreed.state
+        return {"release": msgspec.to_builtins(s.release), "halted": s.halted, "away": s.away, "waits": self.releasing.last,
+                "seen_out": self.seen_out(now),
+                "served": {name: [f.up, f.rejected, f.failed, f.took] for name, (f, _) in self.figures.items()}}
+
     def tell_history(self, now: int) -> dict[str, Any]:
         return {"history": [msgspec.to_builtins(record) for record in self.agreed.state.history]}
 
--- /dev/null
+++ b/cypresswalk/fleet/releasing.py
@@ -0,0 +1,111 @@
+"""What the leader does about a release: the next balancer to go, whether a wave has held, when to halt. No I/O, no clock.
+
+All that must survive a leader stands in the agreed log; what stands here (since when a wave holds, what each had served then) begins
+anew with the next one, which so looks at least as long."""
+
+from dataclasses import dataclass, field
+
+from cypresswalk.rollout.evidence import Served, verdict
+from cypresswalk.rollout.release import Release, may_go
+
+SECOND = 1_000_000_000
+TRY_AGAIN = SECOND // 2         # a place that was refused is asked for again
+
+
+@dataclass(frozen=True, slots=True)
+class Do:
+    """One command to propose: "go", "held", "halt"."""
+    what: str
+    name: str = ""
+    why: str = ""
+    wave: int = 0
+
+
+@dataclass
+class Releasing:
+    release: str = ""               # whose figures these are
+    wave: int = -1
+    holds_since: int | None = None
+    at_hold: dict[str, Served] = field(default_factory=dict)
+    seen_new: set[str] = field(default_factory=set)
+    changing_since: dict[str, int] = field(default_factory=dict)
+    tried_at: dict[str, int] = field(default_factory=dict)
+    last: str = ""                  # what is waited for, for people
+
+    def tend(self, now: int, release: Release | None, halted: bool, served: dict[str, Served], out: set[str], away: set[str]) -> Do | None:
+        """`served`: figures by name, of those heard lately; `out`: seen out, by whatever cause; `away`: with a place of their own."""
+        if release is None or release.phase not in ("running", "back"):
+            self.last = ""
+            return None
+        if (self.release, self.wave) != (release.plan.name + release.phase, release.wave):
+            self.release, self.wave = release.plan.name + release.phase, release.wave
+            self.holds_since, self.at_hold, self.seen_new = None, {}, set()
+            self.tried_at.clear()
+        plan = release.plan
+        self.changing_since = {name: self.changing_since.get(name, now) for name, status in release.members.items() if status == "changing"}
+        for name, since in sorted(self.changing_since.items()):
+            if now - since > plan.change_s * SECOND and not halted:
+                return Do("halt", why=f"the agent of {name} has said nothing for {plan.change_s:g} s")
+        if release.phase == "running":
+            changed = [name for name, status in sorted(release.members.items()) if status == "new"]
+            if halted:
+                self.last = "halted"
+                return None
+            bad = self.look(release, changed, served) if changed else None
+            if bad:
+                return Do("halt", why=bad)
+            wave = plan.waves[release.wave]
+            if all(release.members[name] == "new" for name in wave) and not set(wave) & (out | away):
+                return self.hold(now, release, wave, served)
+            self.holds_since = None
+            candidates = [name for name in wave if release.members[name] == "old"]
+        else:
+            # The worst first: what failed, then what fails most of its flows.
+            candidates = sorted((name for name, status in release.members.items() if status in ("new", "failed")),
+                                key=lambda name: (release.members[name] != "failed", -served.get(name, Served()).bad, name))
+        return self.next_to_go(now, release, halted, candidates)
+
+    def next_to_go(self, now: int, release: Release, halted: bool, candidates: list[str]) -> Do | None:
+        for name in candidates:
+            if not may_go(release, name, halted) and now - self.tried_at.get(name, -1 << 62) >= TRY_AGAIN:
+                self.tried_at[name] = now
+                return Do("go", name)
+        self.last = f"waits for {', '.join(candidates[:5]) or 'those that are being changed'}"
+        return None
+
+    def look(self, release: Release, changed: list[str], served: dict[str, Served]) -> str | None:
+        """What is bad of those changed, since each was first seen changed."""
+        now_changed, others = self.counts(release, changed, served)
+        how, why = verdict(release.plan, now_changed, others)
+        return why if how == "bad" else None
+
+    def counts(self, release: Release, changed: list[str], served: dict[str, Served]) -> tuple[dict[str, Served], Served]:
+        for name, figures in served.items():
+            # A changed one is looked at from nothing, since its process is new; the others from when a wave was first looked at.
+            if name in changed and name not in self.seen_new:
+                self.seen_new.add(name)
+                self.at_hold[name] = Served()
+            self.at_hold.setdefault(name, figures)
+        others = Served()
+        for name, figures in served.items():
+            if name not in changed:
+                others += figures.since(self.at_hold[name])
+        return {name: served[name].since(self.at_hold[name]) for name in changed if name in served}, others
+
+    def hold(self, now: int, release: Release, wave: list[str], served: dict[str, Served]) -> Do | None:
+        plan = release.plan
+        if self.holds_since is None:
+            self.holds_since = now
+        passed = now - self.holds_since
+        now_changed, others = self.counts(release, wave, served)
+        how, why = verdict(plan, now_changed, others)
+        self.last = f"wave {release.wave} holds for {passed / SECOND:.1f} of {plan.hold_s:g} s: {how} {why}"
+        if missing := [name for name in wave if name not in now_changed]:
+            how, why = "unknown", f"{', '.join(missing)}: not heard"
+        if passed < plan.hold_s * SECOND:
+            return None
+        if how == "good":
+            return Do("held", wave=release.wave)
+        if passed > plan.hold_s * plan.patience * SECOND:
+            return Do("halt", why=f"nothing is known of wave {release.wave} after {passed / SECOND:.0f} s: {why}")
+        return None
--- a/cypresswalk/fleet/words.py
+++ b/cypresswalk/fleet/words.py
@@ -77,6 +77,7 @@
     wipes: int          # how often its folder was found damaged or put back
     holds: bool = False # copies of what others claimed
     ready: bool | None = None   # flows that came now would be placed; None: nobody has said
+    served: tuple[int, int, int, int] = (0, 0, 0, 0)    # flows up, rejected, failed since its process began, and their set-ups' sum
 
 
 class Grant(Word, frozen=True):
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -228,6 +228,8 @@
         session.standing = True
         if self.claims is not None:
             self.claims.finish(flow, "ran")
+        if self.agreement is not None:
+            self.agreement.took += now - leg.sent
         self.counters.add("flows_established")
         self.figures.ended("fulfilled", session.opening.values["c"])
         self.drivers.join(leg)
--- /dev/null
+++ b/cypresswalk/rollout/plan.py
@@ -0,0 +1,55 @@
+"""The file that a release is started from: its waves named, or drawn up from zones and a first small one."""
+
+from pydantic import Field, model_validator
+
+from cypresswalk import toml
+from cypresswalk.refusal import Refusal
+from cypresswalk.rollout import release
+
+
+class File(toml.Table):
+    name: str = Field(min_length=1, max_length=63)
+    since: str = Field(min_length=1, max_length=63, pattern=r"^[A-Za-z0-9._-]+$")       # a folder's name: the version that runs
+    to: str = Field(min_length=1, max_length=63, pattern=r"^[A-Za-z0-9._-]+$")
+    waves: list[list[str]] | None = None
+    zones: list[str] = []           # in which order, where no waves are named; those not named come last
+    canary: int = Field(1, ge=1)    # balancers of the first wave
+    grow: float = Field(2, ge=1, le=100)    # times that each further wave is larger
+    hold_s: float = 300
+    flows: int = 500
+    patience: float = 3
+    worse: float = 0.01
+    slower: float = 1.5
+    change_s: float = 120
+
+    @model_validator(mode="after")
+    def fits(self) -> "File":
+        if self.waves is not None and self.zones:
+            raise ValueError("waves, zones: one of them")
+        return self
+
+
+def drawn_up(file: File, zones: dict[str, str]) -> list[list[str]]:
+    """Zone by zone, in waves that grow and do not cross from one zone to the next."""
+    order = file.zones + sorted(set(zones.values()) - set(file.zones))
+    waves, size = [], float(file.canary)
+    for zone in order:
+        names = sorted(name for name, there in zones.items() if there == zone)
+        while names:
+            wave, names = names[:int(size)], names[int(size):]
+            waves.append(wave)
+            size *= file.grow
+    return waves
+
+
+def read(path: str, zones: dict[str, str]) -> list:
+    """A plan as the fleet takes it. `zones`: of all members, by name. Raises Refusal with a line for each thing that is wrong."""
+    file = toml.read(path, File)
+    waves = file.waves if file.waves is not None else drawn_up(file, zones)
+    plan = release.Plan(file.name, file.since, file.to, waves, file.hold_s, file.flows, file.patience, file.worse, file.slower,
+                        file.change_s)
+    wrong = release.objection(plan, sorted(zones))
+    wrong += [f"zones: there is no zone {zone!r}" for zone in file.zones if zone not in zones.values()]
+    if wrong:
+        raise Refusal("\n".join(f"{path}: {line}" for line in wrong))
+    return [plan.name, plan.since, plan.to, plan.waves, plan.hold_s, plan.flows, plan.patience, plan.worse, plan.slower, plan.change_s]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,7 +1,12 @@
 """Never too many balancers or servers out at once by the fleet's own doing."""
 
 import asyncio
+import json
+import os
+import shutil
+import sys
 import time
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -9,11 +14,16 @@
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.agreed import Agreed, encode
 from cypresswalk.fleet.binding import objection
-from cypresswalk.lab.together.plan import Step
-from cypresswalk.rollout import bounds
+from cypresswalk.fleet.releasing import Releasing
+from cypresswalk.lab.together.plan import Plan as Plan_, Step
+from cypresswalk.lab.together.stage import Rig
+from cypresswalk.refusal import Refusal
+from cypresswalk.rollout import bounds, plan as plans
 from cypresswalk.rollout.bounds import allowed, why_not
+from cypresswalk.rollout.evidence import Served, verdict
+from cypresswalk.rollout.release import Plan
 from helpers import PARAMS
-from test_together import asked, with_rig
+from test_together import ROOT, asked, with_rig
 
 
 @pytest.mark.parametrize("bound, of, may", [
@@ -153,3 +163,272 @@
             return
         await asyncio.sleep(0.1)
     raise AssertionError(body)
+
+
+# Releases: the state machine and the leader's part against a plain model.
+
+PLAN = Plan("r1", "v1", "v2", [["n0"], ["n1", "n2"], ["n3", "n4", "n5"]], 10.0, 50, 3.0, 0.01, 1.5, 30.0)
+ZONES = {f"n{i}": f"z{i % 3}" for i in range(6)}
+
+
+class Fleet:
+    """Agents, a leader that may change, and what balancers serve, round the agreed state machine."""
+
+    def __init__(self, seed: int, most: int = 2):
+        self.chance, self.machine, self.now, self.number = Random(seed), Agreed(), 0, 0
+        self.machine.state.settings = {"bounds": {"balancers": {"all": most}}}
+        self.leader, self.most = Releasing(), most
+        self.runs = dict.fromkeys(ZONES, "v1")
+        self.served = {name: [0, 0, 0, 0] for name in ZONES}
+        self.doing: dict[str, str] = {}
+        self.bad = ""               # a version that fails a tenth of its flows
+        self.slow = ""
+        self.dead: set[str] = set()
+        self.most_out = 0
+        self.rate = 20
+        assert self.say(state.Begin, PLAN, sorted(ZONES))[0]
+
+    def say(self, kind, *words):
+        self.number += 1
+        return self.machine.apply(encode(kind(f"c{self.number}", "test", 0, *words)))[1]
+
+    @property
+    def release(self):
+        return self.machine.state.release
+
+    def step(self, seconds: float = 0.2) -> None:
+        self.now += int(seconds * 10**9)
+        for name, runs in self.runs.items():
+            if name in self.dead:
+                continue
+            for _ in range(self.rate):
+                failed = runs == self.bad and self.chance.random() < 0.1 or self.chance.random() < 0.005
+                self.served[name][2 if failed else 0] += 1
+                self.served[name][3] += 0 if failed else 9_000_000 if runs == self.slow else 3_000_000
+        seen = {name: "not heard" for name in self.dead}
+        do = self.leader.tend(self.now, self.release, self.machine.state.halted is not None,
+                              {name: Served(*s) for name, s in self.served.items() if name not in self.dead}, set(seen),
+                              set(self.machine.state.away))
+        if do is not None:
+            kind, words = {"go": (state.Go, (do.name, ZONES, seen)), "held": (state.Held, (do.wave,)), "halt": (state.Halt, (do.why,))}[do.what]
+            self.say(kind, *words)
+        for name, status in list(self.release.members.items()):
+            if name in self.dead:
+                continue
+            to = "v1" if self.release.phase == "back" else "v2"
+            if status == "out" and self.chance.random() < 0.5 and self.say(state.Began, name, to)[0]:
+                self.doing[name] = to
+            elif status == "changing" and self.chance.random() < 0.3:
+                self.runs[name] = self.doing.get(name, self.runs[name])
+                self.served[name] = [0, 0, 0, 0]
+                self.say(state.Came, name, self.runs[name], "")
+            elif status != "changing" and name in self.machine.state.away and status != "out":
+                self.say(state.Return, name)
+        changing = {name for name, status in self.release.members.items() if status in ("out", "changing")}
+        self.most_out = max(self.most_out, len(changing))
+        assert len(changing) <= self.most or self.dead
+
+    def until(self, phases: tuple, seconds: float = 600) -> None:
+        end = self.now + int(seconds * 10**9)
+        while self.release.phase not in phases and self.now < end:
+            self.step()
+        assert self.release.phase in phases, (self.release, self.machine.state.halted, self.leader.last)
+
+
+def test_a_good_release_goes_wave_by_wave_within_the_bound_also_with_a_new_leader_each_moment():
+    for seed in range(6):
+        fleet = Fleet(seed)
+        while fleet.release.phase == "running" and fleet.now < 900 * 10**9:
+            before = dict(fleet.release.members)
+            fleet.step()
+            if fleet.chance.random() < 0.01:
+                fleet.leader = Releasing()
+            begun = {n for n, s in fleet.release.members.items() if s != "old" and before[n] == "old"}
+            assert all(name in PLAN.waves[fleet.release.wave] for name in begun)
+        assert fleet.release.phase == "done" and set(fleet.runs.values()) == {"v2"} and fleet.most_out <= 2
+        assert fleet.machine.state.halted is None, fleet.machine.state.halted       # no false halt
+
+
+@pytest.mark.parametrize("how", ["bad", "slow"])
+def test_a_bad_release_is_halted_in_its_first_wave_and_goes_back(how):
+    for seed in range(4):
+        fleet = Fleet(seed)
+        setattr(fleet, how, "v2")
+        while fleet.machine.state.halted is None and fleet.now < 300 * 10**9:
+            fleet.step()
+        assert fleet.release.wave == 0 and list(fleet.runs.values()).count("v2") == 1 and "n0" in fleet.machine.state.halted[2]
+        for _ in range(50):
+            fleet.step()
+        assert list(fleet.runs.values()).count("v2") == 1          # it holds
+        assert fleet.say(state.TurnBack)[0]
+        fleet.until(("backed",))
+        assert set(fleet.runs.values()) == {"v1"}
+
+
+def test_too_few_flows_are_unknown_and_halt_it_in_the_end():
+    fleet = Fleet(1)
+    fleet.rate = 0
+    while fleet.machine.state.halted is None and fleet.now < 300 * 10**9:
+        fleet.step()
+    assert fleet.release.wave == 0 and "nothing is known of wave 0" in fleet.machine.state.halted[2]
+
+
+def test_the_dead_take_places_an_agent_that_dies_halts_it_and_there_is_always_a_way_back():
+    for seed in range(12):
+        fleet = Fleet(seed)
+        halted_at = None
+        for _ in range(2000):
+            draw = fleet.chance.random()
+            if draw < 0.01 and len(fleet.dead) < 2:
+                fleet.dead.add(fleet.chance.choice(sorted(ZONES)))
+            elif draw < 0.03 and fleet.dead:
+                fleet.dead.pop()
+            elif draw < 0.035:
+                fleet.leader = Releasing()
+            elif draw < 0.04:
+                fleet.say(state.Halt, "by hand")
+            elif draw < 0.06:
+                fleet.say(state.Resume)
+            before = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
+            halted_at = fleet.machine.state.halted
+            fleet.step()
+            after = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
+            if halted_at is not None and fleet.machine.state.halted is not None and fleet.release.phase == "running":
+                assert not after - before       # nothing goes out under a halt
+            if after - before:
+                assert len(after | fleet.dead) <= fleet.most + len(fleet.dead & after)
+        fleet.dead.clear()
+        fleet.say(state.TurnBack)
+        fleet.until(("backed",), 900)
+        assert set(fleet.runs.values()) == {"v1"}
+
+
+def test_a_second_release_waits_and_wrong_plans_are_named_whole(tmp_path):
+    fleet = Fleet(1)
+    ok, why = fleet.say(state.Begin, PLAN, sorted(ZONES))
+    assert not ok and "r1 by test is running" in why
+    file = tmp_path / "r.toml"
+    file.write_text('name = "x"\nsince = "v1"\nto = "v1"\nwaves = [["n0", "n9"], [], ["n0"]]\nhold_s = -1\nworse = 2\n')
+    with pytest.raises(Refusal) as refusal:
+        plans.read(str(file), ZONES)
+    assert len(str(refusal.value).splitlines()) == 6, refusal.value
+    file.write_text('name = "x"\nsince = "v1"\nto = "v2"\nzones = ["z2"]\ncanary = 1\n')
+    assert plans.read(str(file), ZONES)[3] == [["n2"], ["n5"], ["n0", "n3"], ["n1", "n4"]]
+
+
+def test_evidence_wants_enough_flows_and_is_not_misled_by_one_failure():
+    others = Served(10_000, 0, 50, 10_000 * 3_000_000)
+    assert verdict(PLAN, {"n0": Served(9, 0, 1, 9 * 3_000_000)}, others)[0] == "unknown"
+    assert verdict(PLAN, {"n0": Served(200, 0, 2, 200 * 3_000_000)}, others)[0] == "good"
+    assert verdict(PLAN, {"n0": Served(180, 0, 20, 180 * 3_000_000)}, others)[0] == "bad"
+    assert verdict(PLAN, {"n0": Served(200, 200, 0, 200 * 3_000_000)}, others)[0] == "bad"      # ready, and rejects
+    assert verdict(PLAN, {"n0": Served(200, 0, 0, 200 * 9_000_000)}, others)[0] == "bad"
+    assert verdict(PLAN, {"n0": Served(200, 0, 0, 200 * 3_000_000), "n1": Served(0, 0, 60, 0)}, others)[0] == "bad"
+
+
+# With real processes: agents that start them, versions in folders.
+
+REJECTS_ALL = '''
+from cypresswalk.net import core
+core.Core.place = lambda self, now, session: self.end(now, session, core.BUSY)
+'''
+
+
+def versions(folder: Path) -> Path:
+    """Three builds of this program: two that are as it is, one that is ready and rejects every flow."""
+    root = folder / "versions"
+    root.mkdir()
+    (root / "v1").symlink_to(ROOT)
+    (root / "v2").symlink_to(ROOT)
+    (root / "v3").mkdir()
+    shutil.copytree(ROOT / "cypresswalk", root / "v3/cypresswalk", ignore=shutil.ignore_patterns("__pycache__"))
+    main = root / "v3/cypresswalk/__main__.py"
+    main.write_text(REJECTS_ALL + main.read_text())
+    return root
+
+
+class WithAgents(Rig):
+    """Each balancer is started by the agent on its machine; what is killed at the end are both."""
+
+    def start(self, name: str, **environment: str) -> None:
+        p = self.processes[name]
+        root = self.folder.parent / "versions"
+        second = "%s:%d" % self.free()
+        self.words = [sys.executable, "-B", "-m", "cypresswalk", "fleet", "--operator", str(p.folder / "operator.toml"), "agent",
+                      "--member", name, "--root", str(root), "--folder", str(p.folder / "agent"), "--first", "v1",
+                      "--admin", "%s:%d" % p.admin, second, "--", sys.executable, "-B", "-m", "cypresswalk"]
+        super().start(name, **environment)
+
+    def doing(self, name: str) -> dict:
+        try:
+            return json.loads((self.processes[name].folder / "agent/agent.json").read_text())
+        except (OSError, ValueError):
+            return {}
+
+    async def end(self) -> None:
+        pids = [self.doing(name).get(part, 0) for name in self.processes for part in ("pid", "young")]
+        await super().end()
+        for pid in pids:
+            try:
+                if pid and str(self.folder) in Path(f"/proc/{pid}/environ").read_text():
+                    os.kill(pid, 9)
+            except OSError:
+                pass
+
+    async def release(self, name: str, to: str, since: str, **more) -> tuple:
+        plan = {"hold_s": 2.0, "flows": 20, "patience": 5.0, "worse": 0.05, "slower": 10.0, "change_s": 60.0} | more
+        waves = [["n0"], ["n1", "n2", "n3"]]
+        return await self.command("n1", "release_begin", plan=[name, since, to, waves, *plan.values()])
+
+    async def phase(self, *wanted: str, halted: bool = False, span: float = 45) -> dict:
+        until, body = time.monotonic() + span, {}
+        while time.monotonic() < until:
+            result, body = await self.ask(await self.leader(), "release", span=2.0)
+            if result == "yes" and body["release"]:
+                changing = [n for n, s in body["release"][5].items() if s in ("out", "changing")]
+                assert len(changing) <= 2, body
+                if body["release"][3] in wanted and bool(body["halted"]) is halted:
+                    return body
+            await asyncio.sleep(0.1)
+        raise AssertionError((wanted, body, [self.doing(n) for n in self.names]))
+
+
+def test_a_release_changes_real_processes_in_waves_and_a_bad_one_is_halted_and_taken_back(tmp_path):
+    versions(tmp_path)
+
+    async def run():
+        rig = WithAgents(Plan_(balancers=4, zones=2, flows_per_s=120), tmp_path / "rig")
+        try:
+            await rig.begin()
+            assert await rig.whole() is not None
+            _, body = await rig.ask("n0", "show")
+            rig.first = body["settings_version"], 0
+            settings = body["settings"] | {"bounds": {"balancers": {"all": 2}}}
+            result, body = await rig.command("n0", "offer", base=body["settings_version"], settings=settings)
+            assert result == "yes"
+            rig.first = int(body["why"].removeprefix("version ")), 0
+            rig.spawn(rig.load(rig.plan.flows_per_s))
+            assert (await rig.release("good", "v2", "v1"))[0] == "yes"
+            refused = await rig.release("other", "v3", "v1")
+            assert refused[0] == "no" and "good by rig is running" in refused[1]["why"]
+            await rig.phase("done")
+            assert [rig.doing(n)["version"] for n in rig.names] == ["v2"] * 4
+            boots = [(await rig.ask(n, "local"))[1]["boot"] for n in rig.names]
+            assert boots == [2] * 4
+            # One that says that it is ready and rejects every flow: found in the first wave, by what it served.
+            assert (await rig.release("bad", "v3", "v2"))[0] == "yes"
+            body = await rig.phase("running", halted=True)
+            assert "n0 failed or rejected" in body["halted"][2] and body["release"][4] == 0, body
+            assert [rig.doing(n)["version"] for n in rig.names] == ["v3", "v2", "v2", "v2"]
+            assert (await rig.command("n2", "release_back"))[0] == "yes"
+            await rig.phase("backed", halted=True)
+            assert [rig.doing(n)["version"] for n in rig.names] == ["v2"] * 4
+            assert (await rig.command("n3", "resume"))[0] == "yes"
+            rig.quiet = True
+            await asyncio.sleep(2)
+            report = await rig.verdict()
+            assert not report["broken"], report
+            assert report["answers"].get("UP", 0) > 1000
+        finally:
+            await rig.end()
+    asyncio.run(run())
