--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,11 +14,11 @@
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.agreed import Agreed, encode
 from cypresswalk.fleet.binding import objection
-from cypresswalk.fleet.releasing import Releasing
+from cypresswalk.fleet.releasing import Do, Releasing
 from cypresswalk.lab.together.plan import Plan as Plan_, Step
 from cypresswalk.lab.together.stage import Rig
 from cypresswalk.refusal import Refusal
-from cypresswalk.rollout import bounds, plan as plans
+from cypresswalk.rollout import bounds, plan as plans, release
 from cypresswalk.rollout.bounds import allowed, why_not
 from cypresswalk.rollout.evidence import Served, verdict
 from cypresswalk.rollout.release import Plan
@@ -273,34 +273,88 @@
     assert fleet.release.wave == 0 and "nothing is known of wave 0" in fleet.machine.state.halted[2]
 
 
+def a_release_among_faults(seed: int) -> None:
+    fleet = Fleet(seed)
+    halted_at = None
+    for _ in range(2000):
+        draw = fleet.chance.random()
+        if draw < 0.01 and len(fleet.dead) < 2:
+            fleet.dead.add(fleet.chance.choice(sorted(ZONES)))
+        elif draw < 0.03 and fleet.dead:
+            fleet.dead.pop()
+        elif draw < 0.035:
+            fleet.leader = Releasing()
+        elif draw < 0.04:
+            fleet.say(state.Halt, "by hand")
+        elif draw < 0.06:
+            fleet.say(state.Resume)
+        before = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
+        halted_at = fleet.machine.state.halted
+        fleet.step()
+        after = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
+        if halted_at is not None and fleet.machine.state.halted is not None and fleet.release.phase == "running":
+            assert not after - before       # nothing goes out under a halt
+        if after - before:
+            assert len(after | fleet.dead) <= fleet.most + len(fleet.dead & after)
+    fleet.dead.clear()
+    fleet.say(state.TurnBack)
+    fleet.until(("backed",), 900)
+    assert set(fleet.runs.values()) == {"v1"}
+
+
 def test_the_dead_take_places_an_agent_that_dies_halts_it_and_there_is_always_a_way_back():
     for seed in range(12):
-        fleet = Fleet(seed)
-        halted_at = None
-        for _ in range(2000):
-            draw = fleet.chance.random()
-            if draw < 0.01 and len(fleet.dead) < 2:
-                fleet.dead.add(fleet.chance.choice(sorted(ZONES)))
-            elif draw < 0.03 and fleet.dead:
-                fleet.dead.pop()
-            elif draw < 0.035:
-                fleet.leader = Releasing()
-            elif draw < 0.04:
-                fleet.say(state.Halt, "by hand")
-            elif draw < 0.06:
-                fleet.say(state.Resume)
-            before = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
-            halted_at = fleet.machine.state.halted
-            fleet.step()
-            after = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
-            if halted_at is not None and fleet.machine.state.halted is not None and fleet.release.phase == "running":
-                assert not after - before       # nothing goes out under a halt
-            if after - before:
-                assert len(after | fleet.dead) <= fleet.most + len(fleet.dead & after)
-        fleet.dead.clear()
-        fleet.say(state.TurnBack)
-        fleet.until(("backed",), 900)
-        assert set(fleet.runs.values()) == {"v1"}
+        a_release_among_faults(seed)
+
+
+def freed_though_it_changes(patch):
+    """As if a grant that nobody was seen to use were free while its agent works."""
+    returned = release.returned
+
+    def careless(now, name):
+        returned(now, name)
+        now.members[name] = "old" if now.members.get(name) == "changing" else now.members.get(name)
+    patch.setattr(release, "returned", careless)
+    step = Fleet.step
+
+    def freeing(self, seconds=0.2):
+        for name in sorted(self.machine.state.away):
+            if self.chance.random() < 0.05:
+                self.say(state.Return, name)
+        step(self, seconds)
+    patch.setattr(Fleet, "step", freeing)
+
+
+def the_dead_are_not_counted(patch):
+    patch.setattr(state, "why_not", lambda scopes, zones, out, who: why_not(scopes, zones, {n: w for n, w in out.items() if w != "not heard"},
+                                                                            who))
+
+
+def a_halt_is_forgotten(patch):
+    may_go, tend = release.may_go, Releasing.tend
+    patch.setattr(release, "may_go", lambda now, name, halted: may_go(now, name, False))
+    patch.setattr("cypresswalk.fleet.releasing.may_go", lambda now, name, halted: may_go(now, name, False))
+    patch.setattr(Releasing, "tend", lambda self, now, what, halted, *words: tend(self, now, what, False, *words))
+
+
+def waves_do_not_wait(patch):
+    patch.setattr(release, "held", lambda now, wave: setattr(now, "wave", min(now.wave + 1, len(now.plan.waves) - 1)) or "")
+    hold = Releasing.hold
+    patch.setattr(Releasing, "hold", lambda self, now, what, wave, served: hold(self, now, what, wave, served) or Do("held", wave=what.wave))
+
+
+@pytest.mark.parametrize("mistake", [freed_though_it_changes, the_dead_are_not_counted, a_halt_is_forgotten])
+def test_a_planted_mistake_is_found(mistake, monkeypatch):
+    mistake(monkeypatch)
+    with pytest.raises(AssertionError):
+        for seed in range(12):
+            a_release_among_faults(seed)
+
+
+def test_a_wave_that_does_not_hold_is_found(monkeypatch):
+    waves_do_not_wait(monkeypatch)
+    with pytest.raises(AssertionError):
+        test_a_bad_release_is_halted_in_its_first_wave_and_goes_back("bad")
 
 
 def test_a_second_release_waits_and_wrong_plans_are_named_whole(tmp_path):
