Copies: wall time does not jump while a process runs; weights are computed once

Change: a holder's wall time is that of its start and what has passed since (fleet/driver.py); a cache for places.weight.

--- a/cypresswalk/copies/places.py
+++ b/cypresswalk/copies/places.py
@@ -1,5 +1,6 @@
 """Which members hold which part of the ids. The same at all: hashes of text, never the order of arrival."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 PARTS = 64          # of the ids: with 200 members each holds about one part, with 3 all of them
@@ -9,6 +10,7 @@
     return blake2b(ident.encode("utf-8", "surrogateescape"), digest_size=8).digest()[0] % PARTS
 
 
+@lru_cache(maxsize=1 << 15)     # two hundred members, each looked at five times a second by who leads
 def weight(part: int, member: str) -> int:
     return int.from_bytes(blake2b(f"{part}/{member}".encode(), digest_size=8).digest(), "big")
 
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -71,7 +71,9 @@
         if table.copies is not None:
             # Imported here alone: who keeps no copies pays nothing.
             from cypresswalk.copies.driver import Copies
-            self.copies = Copies(self.disk, self.now, time.time_ns, self.send_copies, self.tell_leader,
+            # Wall time as it was at the start, and what has passed since: guards ids that are held against a clock that jumps.
+            base = time.time_ns() - self.now()
+            self.copies = Copies(self.disk, self.now, lambda: base + self.now(), self.send_copies, self.tell_leader,
                                  lambda holds: self.queue.put(("holds", holds)), table.copies.most_ids)
         self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
         self.ready: Callable[[], bool | None] = lambda: None    # asked by the fleet's thread
--- a/cypresswalk/lab/together/started.py
+++ b/cypresswalk/lab/together/started.py
@@ -62,7 +62,7 @@
         began = driver.clock()
         fleet.now = clock = lambda: driver.clock() + int((driver.clock() - began) * off)
         if fleet.copies is not None:
-            fleet.copies.files, fleet.copies.now = fleet.disk, clock
+            fleet.copies.files, fleet.copies.now = fleet.disk, clock        # its wall time follows fleet.now by itself
 
 
 if __name__ == "__main__":
