--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -254,21 +254,15 @@
 def compared(asked: Asked) -> list[str]:
     from cypresswalk.fleet import tool
     status, body = asked.call("status"), asked.call("copies")
-    held: dict[int, dict[str, list]] = {}
-    unlike = []
+    told, missing = {}, []
     for member in status["members"]:
         try:
             ok, local = tool.call([member["address"]], asked.fleet, "copies_local", None, asked.span)
         except (tool.Unsure, Refusal) as error:
-            unlike.append(f"{member['name']}: {error}")
+            missing.append(f"{member['name']}: {error}")
             continue
-        for number, view, whole, shut, count, _, digest in local.get("parts", ()) if ok else ():
-            held.setdefault(number, {})[member["id"]] = [view, whole, shut, count, digest]
-    for part, view, holders in body["parts"]:
-        found = {h: held.get(part, {}).get(h) for h in holders}
-        if any(f is None or f[:3] != [view, True, False] for f in found.values()) or len({f[4] for f in found.values()}) > 1:
-            unlike.append(f"part {part}, view {view}: " + "; ".join(f"{h.partition('#')[0]} {f}" for h, f in found.items()))
-    return unlike
+        told[member["id"]] = local if ok else {}
+    return missing + tool.unlike(body["parts"], told)
 
 
 @copies.command()
--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -46,7 +46,6 @@
         self.views: dict[int, tuple[int, tuple[str, ...]]] = {}      # as agreed
         self.sealed_at: dict[int, int] = {}
         self.compare_at: dict[int, int] = {}
-        self.local: list[AnyWord] = []  # of this member to itself
         self.tick_at = self.forget_at = self.ping_at = 0
         self.again_at = 0               # when the folder is read anew
         self.trouble = ""
@@ -217,7 +216,6 @@
         """Nothing of what was being written is said; all is read anew before another word."""
         self.sound, self.again_at = False, now + int(DISK_AGAIN * SECOND)
         self.holder = Holder(self.holder.me, self.most)
-        self.local.clear()
         self.holds(False)
         self.say_trouble(error)
 
--- a/cypresswalk/fleet/tool.py
+++ b/cypresswalk/fleet/tool.py
@@ -66,6 +66,21 @@
             return frame
 
 
+def unlike(parts: list, told: dict[str, Any]) -> list[str]:
+    """A line for each part that is not whole and alike at all its holders. `parts`: number, view, holders, as who leads has them; `told`:
+    by member's id, what each answered to `copies_local`."""
+    held: dict[int, dict[str, list]] = {}
+    for ident, local in told.items():
+        for number, view, whole, shut, count, _, digest in local.get("parts", ()):
+            held.setdefault(number, {})[ident] = [view, whole, shut, count, digest]
+    lines = []
+    for part, view, holders in parts:
+        found = {holder: held.get(part, {}).get(holder) for holder in holders}
+        if any(f is None or f[:3] != [view, True, False] for f in found.values()) or len({f[4] for f in found.values()}) > 1:
+            lines.append(f"part {part}, view {view}: " + "; ".join(f"{h.partition('#')[0]} {f}" for h, f in found.items()))
+    return lines
+
+
 def command(by: str, **args: Any) -> dict[str, Any]:
     return {"ident": uuid.uuid4().hex, "by": by, "at": time.time_ns() // 1_000_000} | args
 
--- a/cypresswalk/rollout/release.py
+++ b/cypresswalk/rollout/release.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-MOST = 207
 UNFINISHED = ("running", "paused", "back")
 
 
@@ -47,8 +46,6 @@
         wrong.append("waves: nobody")
     if not plan.to or not plan.since or plan.to == plan.since:
         wrong.append("since, to: two versions that differ")
-    if len(names) > MOST:
-        wrong.append(f"waves: more than {MOST}")
     for field, low, high in (("hold_s", 0.1, 1e6), ("flows", 0, 1e9), ("patience", 1, 1e4), ("worse", 0.0, 1.0), ("slower", 1.0, 1e3),
                              ("change_s", 1, 1e5)):
         if not low <= getattr(plan, field) <= high:
