Bounds hold under a new leader: whom it has not heard yet is granted nothing

The state it printed says why: the new leader (n0) counted n1, n2, n3 as out ("has not said that it is ready"), and `why_not` granted a place to whoever was out already, whatever the count: `if who in out: return ""` (rollout/bounds.py). Ruled out: a place freed too early (all three stood in `away`), settings lost (the bound stood there).

Found beside it, by reading: the same ignorance put everybody with a place into `went`, so a drain granted just before a leader died could be given back before it was used; a "ready" on its way for seconds could free the place of one that had gone out meanwhile; a return proposed before a second drain ended the second.

Change: one that is out by itself takes one of the places that can be granted; one of which nobody can tell (not heard by this leader, lease not over) is granted nothing until somebody can; a word frees a place only if it names a lease given after the place could no longer be used (fleet/places.py, out of member.py); a return names the grant that it ends. The leader's own entries have a time. The model's sets are drawn in order: it gave another verdict from hash seed to hash seed.

--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -88,8 +88,9 @@
 
 
 class Return(Command, frozen=True):
-    """It was seen ready again, or can no longer use its place."""
+    """It was seen ready again, and can no longer go out by that grant. `granted`: as `State.away` has it; another one stays."""
     name: str
+    granted: tuple[str, int, str]
 
 
 class Halt(Command, frozen=True):
@@ -304,11 +305,14 @@
                 return True, "resumed"
             case Begin() | Go() | Began() | Came() | Held() | TurnBack() | Pause():
                 return self.on_release(command)
-            case Return(name=name):
+            case Return(name=name, granted=granted):
+                # Guards a grant that was agreed after this return was proposed.
+                if s.away.get(name) != granted:
+                    return False, "that place is not held"
                 if s.release is not None:
                     releases.returned(s.release, name)
-                if s.away.pop(name, None) is not None:
-                    self.note(command.by, command.at, f"balancer {name} back")
+                del s.away[name]
+                self.note(command.by, command.at, f"balancer {name} back")
                 return True, "back"
             case Place(parts=parts):
                 # The next view of each and no other: two leaders that both looked at one view make one.
@@ -325,8 +329,8 @@
         return f"halted by {by}: {why}"
 
     def balancer_bound(self, name: str, zones: dict[str, str], seen: dict[str, str]) -> str:
-        gone = seen | {who: f"{why}, by {by}" for who, (by, _, why) in self.state.away.items() if who in zones}
-        return why_not(self.state.settings.get("bounds", {}).get("balancers", {}), zones, gone, name)
+        granted = {who: f"{why}, by {by}" for who, (by, _, why) in self.state.away.items() if who in zones}
+        return why_not(self.state.settings.get("bounds", {}).get("balancers", {}), zones, granted, seen, name)
 
     def on_release(self, command: AnyCommand) -> tuple[bool, str]:
         s, by, at = self.state, command.by, command.at
@@ -382,9 +386,9 @@
         scopes = s.settings.get("bounds", {}).get("servers", {})
         if not scopes:
             return ""
-        out = {name: state for name, _, _, state, _, _ in s.servers if state != "ready"}
-        out |= {name: f"by {by}" for name, (by, _) in s.out.items()}
-        return why_not(scopes, {name: str(zone) for name, zone, *_ in s.servers}, out, server)
+        listed = {name: state for name, _, _, state, _, _ in s.servers if state != "ready"}
+        by_hand = {name: f"by {by}" for name, (by, _) in s.out.items()}
+        return why_not(scopes, {name: str(zone) for name, zone, *_ in s.servers}, by_hand, listed, server)
 
     def next(self, by: str, at: int, what: str) -> None:
         self.state.version += 1
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -18,7 +18,8 @@
 from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.agreed import Listed
 from cypresswalk.fleet.driver import Fleet
-from cypresswalk.fleet.member import CALLED_BACK, DRAINED, GO, View
+from cypresswalk.fleet.member import CALLED_BACK, DRAINED, View
+from cypresswalk.fleet.places import GO
 from cypresswalk.hosting import SettingsError, decode_settings
 from cypresswalk.model import Flow, ListForm, Server, State
 from cypresswalk.net.calls import Call
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -67,13 +67,14 @@
         self.ended = Event()
         self.links = Links(address(table.listen or table.address), table.fleet, lambda *event: self.queue.put(event),
                            self.queue.qsize, self.hello, self.group)
+        # Wall time as it was at the start, and what has passed since: guards against a clock that jumps.
+        base = time.time_ns() - self.now()
+        self.wall: Callable[[], int] = lambda: base + self.now()
         self.copies: Any = None
         if table.copies is not None:
             # Imported here alone: who keeps no copies pays nothing.
             from cypresswalk.copies.driver import Copies
-            # Wall time as it was at the start, and what has passed since: guards ids that are held against a clock that jumps.
-            base = time.time_ns() - self.now()
-            self.copies = Copies(self.disk, self.now, lambda: base + self.now(), self.send_copies, self.tell_leader,
+            self.copies = Copies(self.disk, self.now, self.wall, self.send_copies, self.tell_leader,
                                  lambda holds: self.queue.put(("holds", holds)), table.copies.most_ids)
         self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
         self.ready: Callable[[], bool | None] = lambda: None    # asked by the fleet's thread
@@ -243,6 +244,7 @@
         placing = Placing(ident, copies.copies, copies.least) if copies is not None else None
         self.member = Member(self.about, ident, group, kept, self.now(), self.chance, self.check, self.own, placing)
         self.member.ready, self.member.served = self.ready, self.served
+        self.member.wall = lambda: self.wall() // 1_000_000
         self.member.wipes, self.member.acts_on, self.inherited = self.wipes, self.acts_on, self.until
         if self.copies is not None:
             # Another incarnation holds nothing of what this one held.
--- a/cypresswalk/fleet/leases.py
+++ b/cypresswalk/fleet/leases.py
@@ -24,9 +24,11 @@
 class Held:
     """At the holder."""
 
-    def __init__(self, stated: int):
+    def __init__(self, stated: int, now: int):
         self.span = held_for(stated)
-        self.number = 0
+        # No number that a process before this one used: what names one says when it was said (fleet/places.py).
+        self.number = now
+        self.latest = 0                     # number of the latest granted
         self.out: dict[int, int] = {}       # number of an ask: when it was asked
         self.asked_at: int | None = None    # of the latest granted
         self.version = 0                    # what it was granted on
@@ -41,7 +43,7 @@
     def granted(self, number: int, version: int) -> None:
         asked = self.out.pop(number, None)
         if asked is not None and (self.asked_at is None or asked >= self.asked_at):
-            self.asked_at, self.version = asked, max(version, self.version)
+            self.asked_at, self.version, self.latest = asked, max(version, self.version), number
 
     def until(self, acts_on: int) -> int:
         """0 where it holds none, or one on a later version than it has."""
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -23,6 +23,7 @@
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.agreed import Agreed, AnyCommand
 from cypresswalk.fleet.leases import Given, Held
+from cypresswalk.fleet.places import UNREADY, Places, name_of
 from cypresswalk.fleet.placing import Placing
 from cypresswalk.fleet.releasing import Releasing
 from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, Result
@@ -41,8 +42,6 @@
 BEHIND = 16                     # entries that one may lack and count as caught up
 DRAINED = "drained"             # so begins the reason of one that is to stay out until it is called back
 CALLED_BACK = "called back"
-GO = 2 * SECOND                 # within which a balancer that may go out goes, or not at all
-UNUSED = 10 * SECOND            # a place that nobody was seen to use; clocks and asks included
 WAITS_MOST = 20                 # times the longest connect timeout: the longest that a client may ask for (net/core.py)
 MEMBERS = 207                   # seven voters and two hundred that follow
 VOTERS = 7
@@ -116,7 +115,7 @@
         self.sends: list[tuple[str, AnyFrame]] = []
         self.begin: tuple[str, Kept] | None = None
         self.reborn = ""
-        self.held = Held(about.stated)
+        self.held = Held(about.stated, now)
         self.ask_at, self.hail_at, self.tend_at = now, now, now
         self.hails: dict[str, tuple[int, HailAnswer]] = {}      # answers, by name
         self.joining: dict[str, tuple[int, Hail]] = {}          # at the leader: who wants in, by name
@@ -142,9 +141,8 @@
         self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
         self.figures: dict[str, tuple[Served, int]] = {}        # at the leader, by name, and when
         self.releasing = Releasing()
-        self.readiness: dict[str, tuple[bool | None, int]] = {} # at the leader, by member: what it last said, and when
-        self.away_since: dict[str, int] = {}                    # by name: when this leader first knew that it may go out
-        self.went: set[str] = set()                             # of these, those seen out since
+        self.places = Places(about.stated)                      # at the leader
+        self.wall: Callable[[], int] = lambda: 0                # milliseconds, for people
         self.placed: list[dict[int, tuple[int, tuple[str, ...]]]] = []     # views of parts, for whoever keeps copies here
         if kept is not None:
             self.start(kept, now)
@@ -218,7 +216,7 @@
         """It leads now, or does no more."""
         self.given = Given(self.about.stated, now) if self.leads else None
         self.objections, self.reports, self.joining, self.acting, self.wiped = {}, {}, {}, {}, {}
-        self.readiness, self.away_since, self.went = {}, {}, set()
+        self.places = Places(self.about.stated)
         self.figures, self.releasing = {}, Releasing()
         self.results = {}
         settling, self.settling = self.settling, []
@@ -342,7 +340,8 @@
         offer = pending.offer if pending else ""
         objection = self.check(pending.settings)[:300] if pending else ""
         generation, digest, _ = self.list_told
-        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready(), self.served())
+        ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready(),
+                  self.served(), self.held.latest)
         if self.leads:
             self.asked(now, self.id, ask)
         else:
@@ -360,10 +359,8 @@
         self.wiped[source] = ask.wipes
         if self.placing is not None:
             self.placing.holds(source, ask.holds)
-        self.readiness[source] = ask.ready, now
-        self.figures[source.partition("#")[0]] = Served(*ask.served), now
-        if ask.ready is False:
-            self.went.add(source.partition("#")[0])
+        self.places.asked(now, source, ask.ready, ask.lease)
+        self.figures[name_of(source)] = Served(*ask.served), now
         try:
             self.node.read(now, ("lease", source, ask.number))
         except Busy:
@@ -404,7 +401,7 @@
         if s.pending is None:
             if s.settings_version == 0 and self.own is not None and f"first:{self.group}" not in self.agreed.done \
                     and self.node.log.term(self.node.commit) == self.node.term:
-                self.propose(now, state.Offer(f"first:{self.group}", self.about.name, 0, 0, self.own))
+                self.propose(now, state.Offer(f"first:{self.group}", self.about.name, self.wall(), 0, self.own))
             return
         offer = s.pending.offer
         why = [f"{member.partition('#')[0]}: {text}" for member, (seen, text) in sorted(self.objections.items())
@@ -428,7 +425,7 @@
         voters = self.node.voters
         alike = sum(v == self.id or self.reports.get(v) == (generation, digest) for v in voters)
         if alike >= self.node.majority(len(voters)):
-            self.propose(now, state.Listing(f"list:{s.list_epoch}:{generation}", self.about.name, 0, generation, s.list_epoch,
+            self.propose(now, state.Listing(f"list:{s.list_epoch}:{generation}", self.about.name, self.wall(), generation, s.list_epoch,
                                             servers))
 
     def tend_members(self, now: int) -> None:
@@ -437,48 +434,32 @@
         desired = self.agreed.state.voters
         if not desired:
             if self.node.log.term(self.node.commit) == self.node.term:
-                self.propose(now, state.Desire(f"voters:{self.group}", self.about.name, 0, sorted(names), []))
+                self.propose(now, state.Desire(f"voters:{self.group}", self.about.name, self.wall(), sorted(names), []))
             return
         wanted = self.next_members(now, members, desired)
         if wanted is not None:
             self.node.change(now, wanted)
 
     def seen_out(self, now: int) -> dict[str, str]:
-        """Members that are out whatever anybody granted, with why. What nobody can tell counts as out."""
-        out = {}
-        for m in self.members:
-            if m.name in self.agreed.state.left:
-                continue
-            said, at = self.readiness.get(m.id, (None, 0))
-            if m.id != self.id and not self.hears(now, m.id):
-                out[m.name] = "not heard"
-            elif said is None or now - at > self.about.stated:
-                out[m.name] = "has not said that it is ready"
-            elif not said:
-                out[m.name] = "not ready"
-            else:
-                out.pop(m.name, None)       # a later incarnation of one that was lost
-        return out
+        return self.places.seen_out(now, self.members, self.agreed.state.left,
+                                    {m.id for m in self.members if not self.hears(now, m.id)})
+
+    def in_doubt(self, now: int, name: str, seen: dict[str, str]) -> bool:
+        """Nobody can tell whether it is out: neither has it said so, nor is its lease over."""
+        return name in seen and seen[name] != UNREADY and not all(self.given.lapsed(now, m.id) for m in self.members if m.name == name)
 
     def tend_away(self, now: int) -> None:
-        """A place is free again once who had it was seen out and is seen ready; or, if it never went, once it can go no more: it goes
-        within GO of asking or not at all."""
         s = self.agreed.state
-        self.away_since = {name: self.away_since.get(name, now) for name in s.away}
-        self.went &= set(s.away)
-        seen = self.seen_out(now)
-        self.went |= set(seen) & set(s.away)
-        for name, since in self.away_since.items():
-            ident = next((m.id for m in reversed(self.members) if m.name == name), "")
-            ready, at = self.readiness.get(ident, (None, 0))
-            if s.release is not None and s.release.members.get(name) == "changing":
-                continue        # two processes stand side by side, and it is ready all the while
-            if name not in seen and ready and (name in self.went or at - since > UNUSED):
-                self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
-                return
-        for name in set(s.away) - {m.name for m in self.members}:
-            self.propose(now, state.Return(f"return:{self.chance.getrandbits(64):016x}", self.about.name, 0, name))
-            return
+        doing = s.release.members if s.release is not None else {}
+        free = self.places.tend(now, s.away, {name for name in s.away if doing.get(name) == "changing"},
+                                {name for name in s.away if doing.get(name) == "out"}, self.seen_out(now),
+                                {m.name for m in self.members})
+        if free is not None:
+            self.propose(now, state.Return(*self.head("return"), *free))
+
+    def head(self, what: str, by: str = "") -> tuple[str, str, int]:
+        """Of a command that the leader proposes by itself."""
+        return f"{what}:{self.chance.getrandbits(64):016x}", by or self.about.name, self.wall()
 
     def tend_release(self, now: int) -> None:
         s = self.agreed.state
@@ -486,10 +467,11 @@
             return
         seen = self.seen_out(now)
         served = {name: figures for name, (figures, at) in self.figures.items() if now - at <= self.about.stated}
-        do = self.releasing.tend(now, s.release, s.halted is not None, served, set(seen), set(s.away))
+        do = self.releasing.tend(now, s.release, s.halted is not None, served, set(seen), set(s.away),
+                                 {name for name in seen if self.in_doubt(now, name, seen)})
         if do is None:
             return
-        head = (f"release:{self.chance.getrandbits(64):016x}", f"release {s.release.plan.name}", 0)
+        head = self.head("release", f"release {s.release.plan.name}")
         match do.what:
             case "go":
                 zones = {m.name: m.zone for m in self.members if m.name not in s.left}
@@ -507,7 +489,7 @@
                                              longest_held(s.settings))
         self.sends += sends
         if proposals:
-            self.propose(now, state.Place(f"place:{self.chance.getrandbits(64):016x}", self.about.name, 0, proposals))
+            self.propose(now, state.Place(*self.head("place"), proposals))
 
     def hears(self, now: int, ident: str) -> bool:
         peer = self.node.peers.get(ident)
@@ -631,8 +613,8 @@
     def command(self, now: int, name: str, args: dict[str, Any]) -> AnyCommand:
         """Raises ValueError where it could never be carried out."""
         kinds = {"offer": state.Offer, "out": state.Out, "back": state.Back, "note": state.Note, "renew": state.Renew,
-                 "halt": state.Halt, "resume": state.Resume, "release_began": state.Began, "release_came": state.Came, "release_back": state.TurnBack,
-                 "release_pause": state.Pause}
+                 "halt": state.Halt, "resume": state.Resume, "release_began": state.Began, "release_came": state.Came,
+                 "release_back": state.TurnBack, "release_pause": state.Pause}
         if name in ("join", "leave", "replace"):
             return self.desire(name, args)
         if name == "release_begin":
@@ -641,8 +623,10 @@
                                sorted({m.name for m in self.members if m.name not in self.agreed.state.left}))
         if name == "go_out":
             zones = {m.name: m.zone for m in self.members if m.name not in self.agreed.state.left}
-            return state.Leave(str(args["ident"]), str(args["by"]), int(args["at"]), str(args["member"]), str(args["why"]),
-                               bool(args.get("forced")), zones, self.seen_out(now))
+            who, forced, seen = str(args["member"]), bool(args.get("forced")), self.seen_out(now)
+            if not forced and self.in_doubt(now, who, seen):
+                raise Busy(f"{who} {seen[who]}: whether it is out nobody can tell yet")
+            return state.Leave(str(args["ident"]), str(args["by"]), int(args["at"]), who, str(args["why"]), forced, zones, seen)
         if name not in kinds:
             raise ValueError("no such call")
         command = kinds[name](**args)
@@ -655,7 +639,7 @@
         have = [part for part in parts if part not in self.placing.away]
         if have or not parts:
             raise ValueError(f"parts {have} have copies" if have else "no part named")
-        self.propose(now, state.Note(f"renew:{self.chance.getrandbits(64):016x}", by, 0, f"copies begun anew with nothing: {parts}"))
+        self.propose(now, state.Note(*self.head("renew", by), f"copies begun anew with nothing: {parts}"))
         self.placing.renewed.update(parts)
         reply(True, {"why": f"{len(parts)} parts begin anew"})
 
@@ -782,6 +766,7 @@
                 if self.given is None:
                     return
                 self.given.grant(now, member)
+                self.places.leased(now, member, number)
                 grant = Grant(number, self.agreed.state.version)
                 if member == self.id:
                     self.granted(now, grant)
--- a/cypresswalk/fleet/releasing.py
+++ b/cypresswalk/fleet/releasing.py
@@ -32,8 +32,10 @@
     tried_at: dict[str, int] = field(default_factory=dict)
     last: str = ""                  # what is waited for, for people
 
-    def tend(self, now: int, release: Release | None, halted: bool, served: dict[str, Served], out: set[str], away: set[str]) -> Do | None:
-        """`served`: figures by name, of those heard lately; `out`: seen out, by whatever cause; `away`: with a place of their own."""
+    def tend(self, now: int, release: Release | None, halted: bool, served: dict[str, Served], out: set[str], away: set[str],
+             doubt: set[str]) -> Do | None:
+        """`served`: figures by name, of those heard lately; `out`: seen out, by whatever cause; `doubt`: of these, those that may be
+        in all the same; `away`: with a place of their own."""
         if release is None or release.phase not in ("running", "back"):
             self.last = ""
             return None
@@ -63,7 +65,8 @@
             # The worst first: what failed, then what fails most of its flows.
             candidates = sorted((name for name, status in release.members.items() if status in ("new", "failed")),
                                 key=lambda name: (release.members[name] != "failed", -served.get(name, Served()).bad, name))
-        return self.next_to_go(now, release, halted, candidates)
+        # Guards against a new leader that takes all whom it has not heard yet for out already, and grants each a place.
+        return self.next_to_go(now, release, halted, [name for name in candidates if name not in doubt])
 
     def next_to_go(self, now: int, release: Release, halted: bool, candidates: list[str]) -> Do | None:
         for name in candidates:
--- a/cypresswalk/lab/together/virtual.py
+++ b/cypresswalk/lab/together/virtual.py
@@ -22,6 +22,7 @@
 
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
+EPOCH = 1_800_000_000 * SECOND      # of everybody's wall clock
 
 
 class Broken(Exception):
@@ -163,6 +164,7 @@
         self.disk = process.disk
         self.chance = Random(f"{world.seed}/{process.name}/{process.starts}")
         self.life = self.chance.getrandbits(63)
+        self.wall = lambda: EPOCH + world.now
         self.links = VirtualLinks(world, process, self)
 
 
--- a/cypresswalk/rollout/bounds.py
+++ b/cypresswalk/rollout/bounds.py
@@ -45,19 +45,21 @@
     return bound
 
 
-def why_not(scopes: dict[str, Any], zones: dict[str, str], out: dict[str, str], who: str) -> str:
-    """Why `who` may not go out besides, or nothing. `zones`: all that there are; `out`: those that are out by any cause, with that cause.
-    One that is out already takes no further place; what is out beyond a bound from other causes counts against it."""
-    if who in out:
+def why_not(scopes: dict[str, Any], zones: dict[str, str], granted: dict[str, str], seen: dict[str, str], who: str) -> str:
+    """Why `who` may not go out besides, or nothing. `zones`: all that there are; `granted`: those that may be out by a grant, `seen`:
+    those that are out by whatever else, each with why. One that is out by itself takes no further place from the others, but it takes
+    one of those that can be granted: it may come back by itself just before it goes out by its grant."""
+    if who in granted:
         return ""
     zone = zones.get(who, "")
+    taken = granted if who in seen else seen | granted
     for scope, members in (("all", set(zones)), ("zone", {name for name, there in zones.items() if there == zone})):
         if scope not in scopes:
             continue
-        gone = sorted(name for name in out if name in members)
+        gone = sorted(name for name in taken if name in members)
         most = allowed(scopes[scope], len(members))
         if len(gone) + 1 > most:
             where = "" if scope == "all" else f" of zone {zone}"
-            said = ", ".join(f"{name} ({out[name]})" for name in gone[:8]) + (", ..." if len(gone) > 8 else "")
+            said = ", ".join(f"{name} ({taken[name]})" for name in gone[:8]) + (", ..." if len(gone) > 8 else "")
             return f"{len(gone)} of {len(members)}{where} are out and {most} may be: {said or 'none'}"
     return ""
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -432,7 +432,7 @@
 # Leases and frames.
 
 def test_a_lease_is_given_up_by_its_holder_before_its_giver_counts_it_as_lapsed():
-    held, given = Held(5 * SECOND), Given(5 * SECOND, 0)
+    held, given = Held(5 * SECOND, 0), Given(5 * SECOND, 0)
     number = held.ask(100 * SECOND)
     given.grant(100 * SECOND, "a")
     held.granted(number, 3)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -11,9 +11,11 @@
 
 import pytest
 
+from cypresswalk.agreement.words import Member as One
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.agreed import Agreed, encode
 from cypresswalk.fleet.binding import objection
+from cypresswalk.fleet.places import Places
 from cypresswalk.fleet.releasing import Do, Releasing
 from cypresswalk.lab.together.plan import Plan as Plan_, Step
 from cypresswalk.lab.together.stage import Rig
@@ -45,12 +47,14 @@
 def test_zones_and_the_whole_are_bounded_each_and_what_is_out_by_itself_counts():
     zones = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "b3": "b"}
     scopes = {"all": 3, "zone": 1}
-    assert not why_not(scopes, zones, {"a1": "drained"}, "b1")
-    assert "of zone a" in why_not(scopes, zones, {"a1": "not heard"}, "a2")
-    assert not why_not(scopes, zones, {"a1": "not heard"}, "a1")        # out already: no further place
-    assert why_not({"all": 1}, zones, {"b1": "not ready", "b2": "not heard"}, "a1").startswith("2 of 5 are out and 1 may be: b1 (not ready)")
-    assert why_not({"zone": {"share": 0.5}}, {"only": "z"}, {}, "only")     # a zone of one: half of it is none
-    assert not why_not({"zone": {"share": 0.5, "least": 1}}, {"only": "z"}, {}, "only")
+    assert not why_not(scopes, zones, {"a1": "drained"}, {}, "b1")
+    assert "of zone a" in why_not(scopes, zones, {}, {"a1": "not heard"}, "a2")
+    assert not why_not(scopes, zones, {}, {"a1": "not heard"}, "a1")        # out already: no further place
+    assert why_not({"all": 1}, zones, {}, {"b1": "not ready", "b2": "not heard"}, "a1").startswith("2 of 5 are out and 1 may be: b1 (not ready)")
+    assert not why_not({"all": 1}, zones, {}, {"b1": "not ready", "b2": "not heard"}, "b1")
+    assert why_not({"all": 1}, zones, {"a1": "drained"}, {"b1": "not ready"}, "b1")     # it may come back just before it goes
+    assert why_not({"zone": {"share": 0.5}}, {"only": "z"}, {}, {}, "only")     # a zone of one: half of it is none
+    assert not why_not({"zone": {"share": 0.5, "least": 1}}, {"only": "z"}, {}, {}, "only")
 
 
 def test_random_commands_never_take_more_out_than_the_bound_allows_unless_forced():
@@ -70,20 +74,23 @@
                 seen = {name: "not heard" for name in names if chance.random() < 0.1}
                 command = state.Leave(*head, who, "drained", kind == "force", names, seen)
                 _, (ok, why) = machine.apply(encode(command))
-                gone = away | set(seen)
-                fits = who in gone or (len(gone) + 1 <= allowed(most["balancers"]["all"], len(names))
+                gone = away if who in seen else away | set(seen)
+                fits = who in away or (len(gone) + 1 <= allowed(most["balancers"]["all"], len(names))
                                        and sum(names[n] == names[who] for n in gone) + 1 <= 1)
                 assert ok is (fits or kind == "force"), (seed, number, why)
                 assert machine.apply(encode(command))[1] == (ok, why)       # asked again: the same answer, no second place
                 away |= {who} if ok else set()
             elif kind == "return":
-                machine.apply(encode(state.Return(*head, who)))
+                held = machine.state.away.get(who, ("other", 0, ""))
+                assert not machine.apply(encode(state.Return(*head[:2], 1, who, ("other", 0, ""))))[1][0]
+                machine.apply(encode(state.Return(f"r{number}", *head[1:], who, held)))
                 away.discard(who)
             elif kind == "out":
                 before, listed = set(machine.state.out), {n: s for n, _, _, s, _, _ in machine.state.servers}
-                gone = before | {n for n, s in listed.items() if s != "ready"}
+                seen = {n for n, s in listed.items() if s != "ready"}
+                gone = before if server in seen else before | seen
                 _, (ok, _) = machine.apply(encode(state.Out(*head, server)))
-                fits = server in gone or len(gone & set(listed)) + 1 <= allowed(most["servers"]["all"], len(listed))
+                fits = server in before or len(gone & set(listed)) + 1 <= allowed(most["servers"]["all"], len(listed))
                 assert ok is fits, (seed, number)
             elif kind == "back":
                 machine.apply(encode(state.Back(*head, server)))
@@ -165,6 +172,43 @@
     raise AssertionError(body)
 
 
+def test_a_place_is_free_only_by_a_word_said_after_it_could_no_longer_be_used():
+    second, granted, names = 10**9, ("n1 (call)", 7, "drained"), {"n0", "n1"}
+    places = Places(5 * second)
+
+    def tend(now, away=granted, begun=(), waiting=()):
+        out = places.seen_out(now, [One("n0#1", True, "", ""), One("n1#1", True, "", "")], [], [])
+        return places.tend(now, {"n1": away} if away else {}, begun, waiting, set(out) - {"n0"}, names)
+    assert set(places.seen_out(0, [One("n1#1", True, "", "")], [], [])) == {"n1"}      # a new leader knows nobody
+    assert tend(0) is None
+    places.leased(second, "n1#1", 10)
+    places.asked(4 * second, "n1#1", True, 10)          # said before it went out, four seconds on the way
+    assert tend(4 * second) is None
+    places.leased(4 * second, "n1#1", 11)
+    places.asked(5 * second, "n1#1", False, 11)         # it did go
+    assert tend(5 * second) is None
+    places.leased(6 * second, "n1#1", 12)
+    places.asked(7 * second, "n1#1", True, 12)
+    assert tend(7 * second) == ("n1", granted)
+    again = ("n1 (call)", 8, "drained")                 # it asked anew meanwhile: another grant, nothing known of it
+    assert tend(8 * second, again) is None
+    # A release: the old process is ready all the while, and its words say nothing of the new one.
+    places = Places(5 * second)
+    assert tend(0, waiting={"n1"}) is None and tend(9 * second, begun={"n1"}) is None
+    places.leased(9 * second, "n1#1", 20)
+    places.asked(9 * second, "n1#1", True, 20)
+    assert tend(10 * second) is None
+    places.asked(10 * second, "n1#1", True, 20)
+    assert tend(10 * second) is None
+    places.leased(10 * second, "n1#1", 21)
+    places.asked(10 * second, "n1#1", True, 21)
+    assert tend(10 * second) == ("n1", granted)
+    # Its machine is gone: another takes its name, or it leaves.
+    places = Places(5 * second)
+    names.discard("n1")
+    assert tend(0) == ("n1", granted)
+
+
 # Releases: the state machine and the leader's part against a plain model.
 
 PLAN = Plan("r1", "v1", "v2", [["n0"], ["n1", "n2"], ["n3", "n4", "n5"]], 10.0, 50, 3.0, 0.01, 1.5, 30.0)
@@ -184,6 +228,7 @@
         self.bad = ""               # a version that fails a tenth of its flows
         self.slow = ""
         self.dead: set[str] = set()
+        self.unheard: set[str] = set()      # by a new leader
         self.most_out = 0
         self.rate = 20
         assert self.say(state.Begin, PLAN, sorted(ZONES))[0]
@@ -196,6 +241,9 @@
     def release(self):
         return self.machine.state.release
 
+    def other_leads(self) -> None:
+        self.leader, self.unheard = Releasing(), set(ZONES)
+
     def step(self, seconds: float = 0.2) -> None:
         self.now += int(seconds * 10**9)
         for name, runs in self.runs.items():
@@ -205,10 +253,11 @@
                 failed = runs == self.bad and self.chance.random() < 0.1 or self.chance.random() < 0.005
                 self.served[name][2 if failed else 0] += 1
                 self.served[name][3] += 0 if failed else 9_000_000 if runs == self.slow else 3_000_000
-        seen = {name: "not heard" for name in self.dead}
+        self.unheard = {name for name in sorted(self.unheard) if self.chance.random() < 0.7}
+        seen = dict.fromkeys(self.unheard, "has not said that it is ready") | dict.fromkeys(self.dead, "not heard")
         do = self.leader.tend(self.now, self.release, self.machine.state.halted is not None,
                               {name: Served(*s) for name, s in self.served.items() if name not in self.dead}, set(seen),
-                              set(self.machine.state.away))
+                              set(self.machine.state.away), self.unheard - self.dead)
         if do is not None:
             kind, words = {"go": (state.Go, (do.name, ZONES, seen)), "held": (state.Held, (do.wave,)), "halt": (state.Halt, (do.why,))}[do.what]
             self.say(kind, *words)
@@ -223,7 +272,7 @@
                 self.served[name] = [0, 0, 0, 0]
                 self.say(state.Came, name, self.runs[name], "")
             elif status != "changing" and name in self.machine.state.away and status != "out":
-                self.say(state.Return, name)
+                self.say(state.Return, name, self.machine.state.away[name])
         changing = {name for name, status in self.release.members.items() if status in ("out", "changing")}
         self.most_out = max(self.most_out, len(changing))
         assert len(changing) <= self.most or self.dead
@@ -241,8 +290,8 @@
         while fleet.release.phase == "running" and fleet.now < 900 * 10**9:
             before = dict(fleet.release.members)
             fleet.step()
-            if fleet.chance.random() < 0.01:
-                fleet.leader = Releasing()
+            if fleet.chance.random() < 0.03:
+                fleet.other_leads()
             begun = {n for n, s in fleet.release.members.items() if s != "old" and before[n] == "old"}
             assert all(name in PLAN.waves[fleet.release.wave] for name in begun)
         assert fleet.release.phase == "done" and set(fleet.runs.values()) == {"v2"} and fleet.most_out <= 2
@@ -278,15 +327,17 @@
     halted_at = None
     for _ in range(2000):
         draw = fleet.chance.random()
-        if draw < 0.01 and len(fleet.dead) < 2:
+        if draw < 0.05 and len(fleet.dead) < 2:
             fleet.dead.add(fleet.chance.choice(sorted(ZONES)))
-        elif draw < 0.03 and fleet.dead:
-            fleet.dead.pop()
-        elif draw < 0.035:
-            fleet.leader = Releasing()
-        elif draw < 0.04:
+            if fleet.chance.random() < 0.5:
+                fleet.other_leads()     # it led
+        elif draw < 0.09 and fleet.dead:
+            fleet.dead.discard(fleet.chance.choice(sorted(fleet.dead)))
+        elif draw < 0.1:
+            fleet.other_leads()
+        elif draw < 0.103:
             fleet.say(state.Halt, "by hand")
-        elif draw < 0.06:
+        elif draw < 0.13:
             fleet.say(state.Resume)
         before = {n for n, s in fleet.release.members.items() if s in ("out", "changing")}
         halted_at = fleet.machine.state.halted
@@ -320,14 +371,13 @@
     def freeing(self, seconds=0.2):
         for name in sorted(self.machine.state.away):
             if self.chance.random() < 0.05:
-                self.say(state.Return, name)
+                self.say(state.Return, name, self.machine.state.away[name])
         step(self, seconds)
     patch.setattr(Fleet, "step", freeing)
 
 
 def the_dead_are_not_counted(patch):
-    patch.setattr(state, "why_not", lambda scopes, zones, out, who: why_not(scopes, zones, {n: w for n, w in out.items() if w != "not heard"},
-                                                                            who))
+    patch.setattr(state, "why_not", lambda scopes, zones, granted, seen, who: why_not(scopes, zones, granted, {}, who))
 
 
 def a_halt_is_forgotten(patch):
@@ -343,7 +393,13 @@
     patch.setattr(Releasing, "hold", lambda self, now, what, wave, served: hold(self, now, what, wave, served) or Do("held", wave=what.wave))
 
 
-@pytest.mark.parametrize("mistake", [freed_though_it_changes, the_dead_are_not_counted, a_halt_is_forgotten])
+def unknown_ones_are_taken_for_out(patch):
+    """As a new leader once did: who has not said anything yet is out already, and may go."""
+    tend = Releasing.tend
+    patch.setattr(Releasing, "tend", lambda self, *words: tend(self, *words[:-1], set()))
+
+
+@pytest.mark.parametrize("mistake", [freed_though_it_changes, the_dead_are_not_counted, a_halt_is_forgotten, unknown_ones_are_taken_for_out])
 def test_a_planted_mistake_is_found(mistake, monkeypatch):
     mistake(monkeypatch)
     with pytest.raises(AssertionError):
