--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -313,6 +313,8 @@
                 if halts != s.halts:
                     return False, f"halted again meanwhile; {self.said_halted()}. Look, and resume again"
                 s.halted = None
+                if s.release is not None:
+                    s.release.boots = {}        # starts count from here on
                 self.note(command.by, command.at, "resumed")
                 return True, "resumed"
             case Begin() | Go() | Began() | Came() | Held() | TurnBack() | Pause():
--- a/cypresswalk/fleet/releasing.py
+++ b/cypresswalk/fleet/releasing.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 
-from cypresswalk.rollout.evidence import Served, verdict
+from cypresswalk.rollout.evidence import Evidence, Served
 from cypresswalk.rollout.release import Release, may_go
 
 SECOND = 1_000_000_000
@@ -24,14 +24,15 @@
 
 @dataclass
 class Releasing:
-    release: str = ""               # whose figures these are
+    release: str = ""               # what stands here is of that one
     wave: int = -1
     holds_since: int | None = None
-    at_hold: dict[str, Served] = field(default_factory=dict)
-    seen_new: set[str] = field(default_factory=set)
+    evidence: Evidence = field(default_factory=Evidence)
     changing_since: dict[str, int] = field(default_factory=dict)
     tried_at: dict[str, int] = field(default_factory=dict)
     out_since: dict[str, int] = field(default_factory=dict)         # changed ones
+    boots: dict[str, int] = field(default_factory=dict)             # of changed ones of whose turn nothing is known any more
+    was_halted: bool = False
     last: str = ""                  # what is waited for, for people
 
     def tend(self, now: int, release: Release | None, halted: bool, served: dict[str, Served], out: set[str], away: set[str],
@@ -41,26 +42,32 @@
         if release is None or release.phase not in ("running", "back"):
             self.last = ""
             return None
-        if (self.release, self.wave) != (release.plan.name + release.phase, release.wave):
-            self.release, self.wave = release.plan.name + release.phase, release.wave
-            self.holds_since, self.at_hold, self.seen_new = None, {}, set()
+        if self.release != release.plan.name + release.phase or self.was_halted and not halted:
+            # Also where a person has seen what there was and goes on: what counts is what comes from here on, or one fault would halt it
+            # for ever.
+            self.release, self.wave, self.evidence = release.plan.name + release.phase, -1, Evidence()
+            self.out_since, self.boots = {}, {}
+        if self.wave != release.wave:
+            self.wave, self.holds_since = release.wave, None
             self.tried_at.clear()
+        self.was_halted = halted
         plan = release.plan
         self.changing_since = {name: self.changing_since.get(name, now) for name, status in release.members.items() if status == "changing"}
         for name, since in sorted(self.changing_since.items()):
             if now - since > plan.change_s * SECOND and not halted:
                 return Do("halt", why=f"the agent of {name} has said nothing for {plan.change_s:g} s")
         if release.phase == "running":
+            wave = plan.waves[release.wave]
             changed = [name for name, status in sorted(release.members.items()) if status == "new"]
+            self.evidence.look(now, release.members, wave, served)
             if halted:
                 self.last = "halted"
                 return None
-            bad = self.fallen(now, release, changed, out, boots) or (self.look(release, changed, served) if changed else None)
+            bad = self.fallen(now, release, changed, out, boots) or self.evidence.bad(plan, now)
             if bad:
                 return Do("halt", why=bad)
-            wave = plan.waves[release.wave]
             if all(release.members[name] == "new" for name in wave) and not set(wave) & (out | away):
-                return self.hold(now, release, wave, served)
+                return self.hold(now, release, wave)
             self.holds_since = None
             candidates = [name for name in wave if release.members[name] in ("old", "failed")]
         else:
@@ -77,51 +84,32 @@
         self.last = f"waits for {', '.join(candidates[:5]) or 'those that are being changed'}"
         return None
 
-    def fallen(self, now: int, release: Release, changed: list[str], out: set[str], boots: dict[str, int]) -> str | None:
+    def fallen(self, now: int, release: Release, changed: list[str], out: set[str], boots: dict[str, int]) -> str:
         """A changed one that does not stay: it is out for long, or its process ended and another was started in its place. One that falls
         over and over would never be out for long, and no wave of it ever hold."""
         self.out_since = {name: self.out_since.get(name, now) for name in changed if name in out}
         for name, since in self.out_since.items():
             if now - since > LOST:
                 return f"{name} was changed and has been out for {(now - since) / SECOND:.0f} s"
+        self.boots = {name: boot for name, boot in self.boots.items() if name in changed}
         for name in changed:
             # One start is the change itself.
-            if 0 < release.boots.get(name, 0) < boots.get(name, 0) - 1:
+            known = release.boots.get(name, 0)
+            base = known + 1 if known else self.boots.setdefault(name, boots.get(name, 1 << 62))
+            if boots.get(name, 0) > base:
                 return f"{name} was changed and then began anew by itself"
-        return None
-
-    def look(self, release: Release, changed: list[str], served: dict[str, Served]) -> str | None:
-        """What is bad of those changed, since each was first seen changed."""
-        now_changed, others = self.counts(release, changed, served)
-        how, why = verdict(release.plan, now_changed, others)
-        return why if how == "bad" else None
-
-    def counts(self, release: Release, changed: list[str], served: dict[str, Served]) -> tuple[dict[str, Served], Served]:
-        for name, figures in served.items():
-            # A changed one is looked at from nothing, since its process is new; the others from when a wave was first looked at.
-            if name in changed and name not in self.seen_new:
-                self.seen_new.add(name)
-                self.at_hold[name] = Served()
-            self.at_hold.setdefault(name, figures)
-        others = Served()
-        for name, figures in served.items():
-            if name not in changed:
-                others += figures.since(self.at_hold[name])
-        return {name: served[name].since(self.at_hold[name]) for name in changed if name in served}, others
+        return ""
 
-    def hold(self, now: int, release: Release, wave: list[str], served: dict[str, Served]) -> Do | None:
+    def hold(self, now: int, release: Release, wave: list[str]) -> Do | None:
         plan = release.plan
         if self.holds_since is None:
             self.holds_since = now
         passed = now - self.holds_since
-        now_changed, others = self.counts(release, wave, served)
-        how, why = verdict(plan, now_changed, others)
-        self.last = f"wave {release.wave} holds for {passed / SECOND:.1f} of {plan.hold_s:g} s: {how} {why}"
-        if missing := [name for name in wave if name not in now_changed]:
-            how, why = "unknown", f"{', '.join(missing)}: not heard"
+        why = self.evidence.unknown(plan, wave)
+        self.last = f"wave {release.wave} holds for {passed / SECOND:.1f} of {plan.hold_s:g} s: {why or 'good'}"
         if passed < plan.hold_s * SECOND:
             return None
-        if how == "good":
+        if not why:
             return Do("held", wave=release.wave)
         if passed > plan.hold_s * plan.patience * SECOND:
             return Do("halt", why=f"nothing is known of wave {release.wave} after {passed / SECOND:.0f} s: {why}")
--- a/cypresswalk/lab/together/releases.py
+++ b/cypresswalk/lab/together/releases.py
@@ -81,6 +81,7 @@
         if one is None:
             return 0, 0, 0, 0
         bad, took, _, _ = self.build(one.version)
+        bad += self.world.lost_share
         for _ in range(int(self.world.rate * (self.world.now - one.counted) / SECOND) if self.ready() else 0):
             failed = self.chance.random() < bad + 0.003
             one.served[2 if failed else 0] += 1
@@ -266,6 +267,7 @@
         self.halts: list[int] = []          # yeses to a halt that nobody has ended
         self.resumed_at = -1
         self.turned_at: int | None = None   # the way back was asked for
+        self.lost_share = 0.0               # of all flows that fail, at whichever balancer
         self.most_out = self.most_lost = 0
         self.went = 0
 
@@ -476,11 +478,11 @@
                 if set(runs.values()) != {wanted}:
                     raise Broken(f"E: the release is {release.phase}, and these run: {runs}")
                 return release.phase
-        elif release.phase != "back" and (state.halted or w.build != "good" and w.now > end - span * 3 // 4):
-            w.turn_back()
         elif release.phase == "paused":
             w.tell("release_pause", {"release": "r1", "on": False})
-        if state.halted and (release is None or release.phase in ("done", "backed")):
+        elif release.phase == "running" and w.build != "good" and (state.halted or w.now > end - span * 3 // 4):
+            w.turn_back()
+        if state.halted and (w.build == "good" or release is None or release.phase in ("done", "backed")):
             w.resume()
     member = w.leader().fleet.member if w.leader() is not None else None
     raise Broken("E: no end: " + (repr((state.release, state.away, state.halted, member.releasing.last, member.seen_out(member.tend_at)))
