--- a/cypresswalk/cli/lab.py
+++ b/cypresswalk/cli/lab.py
@@ -253,3 +253,30 @@
         for act in smaller(seed, plan_of(seed, names, 100)):
             click.echo(f"seed {seed} needs: {act.kind} {act.who} {act.other} {act.number}, then {act.then / 1e9:.2f} s")
     return BROKEN if failed else 0
+
+
+@lab.command()
+@click.option("--seeds", default=100, show_default=True, help="How many.")
+@click.option("--first", default=0, show_default=True, help="The first of them.")
+@click.option("--jobs", default=os.cpu_count() or 1, show_default=True, help="Processes side by side.")
+@click.option("--acts", default=60, show_default=True, help="Faults and calls in each.")
+def releases(seeds: int, first: int, jobs: int, acts: int) -> int:
+    """Plays releases of a whole fleet among random faults and calls in virtual time; shows the course of the first that breaks a rule."""
+    from collections import Counter
+    from functools import partial
+    from cypresswalk.lab.together.releases import run_seed
+    met, ends, went, failed = Counter(), Counter(), 0, []
+    with ProcessPoolExecutor(jobs) as pool:
+        for outcome in pool.map(partial(run_seed, acts=acts), range(first, first + seeds)):
+            met.update(outcome.situations)
+            went += outcome.went
+            if outcome.broken:
+                failed.append(outcome)
+                click.echo(outcome.broken)
+            else:
+                ends[outcome.end] += 1
+    click.echo(f"{seeds} seeds, {went} went out, {len(failed)} broken; " + ", ".join(f"{end} {count}" for end, count in sorted(ends.items())))
+    click.echo(", ".join(f"{what} {count}" for what, count in sorted(met.items())))
+    for line in failed[0].history[-80:] if failed else ():
+        click.echo(line)
+    return BROKEN if failed else 0
--- a/cypresswalk/lab/together/machines.py
+++ b/cypresswalk/lab/together/machines.py
@@ -63,7 +63,6 @@
         self.drains: list[tuple[int, str]] = []
         self.halts: list[tuple[int, int]] = []  # asked, and the yes
         self.resumes: list[int] = []            # asked
-        self.backs: list = self.backs
         self.turned: list[int] = []
         self.wall = time.time() - time.monotonic()
 
