Wiped voter under its name: seeds that find the planted mistake in the corrected world

Seen: seeds 3 and 4 find it no more. Cause: in the virtual world a refusal (put-back) meant for a process that had ended reached its successor, which gave up its identity; since it does not, and runs take another course.

--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -36,7 +36,7 @@
 
 @pytest.mark.parametrize("mistake, seeds", [
     (planted.vote_not_flushed, [8, 11]), (planted.answer_before_the_flush, [13]), (planted.lapsed_without_waiting, [18, 25]),
-    (planted.wiped_voter_under_its_name, [3, 4]), (planted.followers_and_removed_are_counted, [0, 8]),
+    (planted.wiped_voter_under_its_name, [14, 48]), (planted.followers_and_removed_are_counted, [0, 8]),
     (planted.failed_flush_is_forgotten, [1, 8]), (planted.logs_not_compared, [5, 8])])
 def test_a_planted_mistake_is_found(mistake, seeds, monkeypatch):
     """Else the runs above would show nothing. Seeds that find it; the same ones find nothing in the program as it is."""
