An agent changes no balancer that is only beginning: two processes would both listen

By n3's log both said event=start as first processes, 0.5 s apart: the new one found none to hand over to, both listened at one port, and it, without a part in the fleet, rejected half of what came for 20 s; then ended, and each later try went the same way, since its going had taken the place where the old one is found. Ruled out: the fleet (n3 had its lease throughout), the bound (free).

Two processes started within half a second by somebody else can still miss each other: in the roadmap.

--- a/cypresswalk/rollout/duty.py
+++ b/cypresswalk/rollout/duty.py
@@ -107,6 +107,7 @@
 class Duty:
     def __init__(self, member: str, first: str, admins: tuple[str, str], doing: Doing):
         self.member, self.first, self.admins, self.doing = member, first, admins, doing
+        self.started_at: float | None = None
 
     def run(self) -> Work:
         while True:
@@ -131,6 +132,8 @@
 
     def keep_running(self) -> Work:
         doing = self.doing
+        if self.started_at is None:
+            self.started_at = yield Now()       # an agent that begins anew knows of no earlier start
         if (yield Runs(doing.pid)):
             return
         if doing.pid:
@@ -138,6 +141,7 @@
             yield Wait(AGAIN)
         doing.version, doing.admin = doing.version or self.first, doing.admin or self.admins[0]
         doing.pid = yield Started(0)
+        self.started_at = yield Now()
         if not doing.pid:
             doing.pid, why = yield Start(doing.version, doing.admin)
             if why:
@@ -160,6 +164,8 @@
         if doing.version not in (turn["since"], turn["to"]):
             log.error("event=other_version runs=%s release=%s", doing.version, turn)
             return
+        if (yield from self.begins_still()):
+            return
         asked = yield Now()
         ok, _ = yield Ask("release_began", {"member": self.member, "to": to}, doing.change)
         if not ok:
@@ -172,6 +178,12 @@
         else:
             yield from self.next("beside")
 
+    def begins_still(self) -> Work:
+        """Guards against a second process beside one that is only beginning: neither would find the other, both would listen, and the one
+        without a part in the fleet would reject what came to it."""
+        running = yield Runs(self.doing.pid)
+        return running and (yield Check(self.doing.admin)) and (yield Now()) - self.started_at < READY
+
     def ready(self, admin: str, pid: int) -> Work:
         """Nothing once it has been ready for STEADY, or why it never was."""
         until, since, why = (yield Now()) + READY, None, "never ready"
