Search of releases quiets the fleet's and agents' log alone

Cause: run_seed set the level of the whole program's log for its process. Measured: both files pass in one run.

--- a/cypresswalk/lab/together/releases.py
+++ b/cypresswalk/lab/together/releases.py
@@ -422,7 +422,8 @@
 
 def run_seed(seed: int, acts: int = 60, build: str = "", world: type[Releases] = Releases) -> Outcome:
     chance = Random(f"{seed}/release")
-    logging.getLogger("cypresswalk").setLevel(logging.CRITICAL)
+    for part in ("fleet", "rollout"):       # of these alone: guards what others log in this process
+        logging.getLogger(f"cypresswalk.{part}").setLevel(logging.CRITICAL)
     build = build or chance.choice(("good", "good", "good", "aborts", "slow", "falls", "never_ready"))
     w = world(seed, 3, chance.choice((0, 2, 3, 4)), chance.choice((1, 1, 2, {"share": 0.4, "least": 1})), build,
               loss=chance.choice((0.0, 0.02)), delay=(MILLISECOND // 5, chance.choice((2, 20, 100)) * MILLISECOND))
