--- a/cypresswalk/lab/together/releases.py
+++ b/cypresswalk/lab/together/releases.py
@@ -268,7 +268,7 @@
         self.resumed_at = -1
         self.turned_at: int | None = None   # the way back was asked for
         self.lost_share = 0.0               # of all flows that fail, at whichever balancer
-        self.most_out = self.most_lost = 0
+        self.most_out = 0
         self.went = 0
 
     def command(self, by: str, args: dict[str, Any]) -> dict[str, Any]:
@@ -303,7 +303,6 @@
         lost = [m.name for m in self.machines.values() if m.lost_at is not None and self.now - m.lost_at > KNOWN and not m.serves()]
         own = {m.name for m in self.machines.values() if m.drained or m.being_changed and m is not machine
                and any(one.leaving for one in m.running.values())}
-        self.most_lost = max(self.most_lost, len(lost))
         # On the way back one that was just seen out is healed by going out.
         healed = self.turned_at is not None and how == "release" and (machine.in_at is None or self.now - machine.in_at < KNOWN)
         if not healed and len(own | set(lost) | {machine.name}) > self.most:
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -11,7 +11,8 @@
 from cypresswalk.fleet import agreed as state
 from cypresswalk.fleet.places import Places
 from cypresswalk.lab.together.releases import NEW, OLD, SECOND, Releases, plan_for, run_seed
-from cypresswalk.rollout.duty import Duty
+from cypresswalk.rollout import duty
+from cypresswalk.rollout.duty import Doing, Duty
 
 ROOT = Path(__file__).parent.parent
 
@@ -98,3 +99,21 @@
     told = {subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60,
                            env=os.environ | {"PYTHONHASHSEED": seed}).stdout for seed in ("1", "2")}
     assert len(told) == 1 and "goes out: release" in told.pop()
+
+
+def test_an_agent_changes_nothing_while_its_balancer_is_only_beginning():
+    """Else two processes listen at one port, and the one without a part in the fleet rejects what comes to it."""
+    def asked(check: str, since: float) -> list[str]:
+        work, said, answer = Duty("n0", OLD, ("a", "b"), Doing(OLD, 7, "a")).run(), [], None
+        for _ in range(20):
+            want = work.send(answer)
+            said += [want.name] if isinstance(want, duty.Ask) else []
+            answer = {duty.Runs: True, duty.Check: check, duty.Draw: "d", duty.Now: since if "turn" in said else 0.0}.get(type(want))
+            if isinstance(want, duty.Ask):
+                answer = True, {"status": "out", "since": OLD, "to": NEW, "phase": "running"}
+            if isinstance(want, duty.Wait) or "release_began" in said:
+                return said
+        raise AssertionError(said)
+    assert asked("ERR starting", 1.0) == ["turn"]
+    assert asked("", 1.0) == ["turn", "release_began"]
+    assert asked("ERR starting", 30.0) == ["turn", "release_began"]     # a crash loop must find the way back
