Two processes of one balancer that start in one moment find each other

Need: each looked for another before either could be found, so both listened and placed flows, and the end of one took the place in the folder along (seen in the review of releases; agents wait, a script of a person's may not). Ruled out: a longer look, since nothing bounds the time from a start to its listening.

--- a/cypresswalk/net/beside.py
+++ b/cypresswalk/net/beside.py
@@ -1,5 +1,6 @@
 """The way to another process of this balancer: a Unix socket in the folder that both share, by which sockets pass too."""
 
+import fcntl
 import json
 import logging
 import os
@@ -98,6 +99,7 @@
         self.folder, self.file = folder, f"cypresswalk-{number_of(self.name):x}"
         self.sock: socket.socket | None = None
         self.waiting = Lock()
+        self.turn: int | None = None        # held from this process's look for another until another can find it
 
     @contextmanager
     def path(self, file: str) -> Iterator[str]:
@@ -120,6 +122,7 @@
         if not self.folder:
             return None
         until = self.inbox.clock() + self.limits.bind
+        self.take_turn(until)
         while True:
             try:
                 sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -140,6 +143,7 @@
                 welcome = channel.message()
                 if welcome and welcome.get("welcome") == VERSION and channel.descriptors:
                     sock.settimeout(None)
+                    self.end_turn()     # whoever starts now is refused by the one that both have found
                     return channel
                 why = (welcome or {}).get("refused", "no welcome")
             except (OSError, ProtocolError) as error:
@@ -152,6 +156,32 @@
                 return None
             time.sleep(self.limits.list_retry / SECOND)
 
+    def take_turn(self, until: int) -> None:
+        """One process at a time looks for another. Guards against two that start in the same moment: neither would find the
+        other, both would listen, and the first to end would take the place of the other's socket along. The kernel ends the
+        turn of one that dies."""
+        try:
+            turn = os.open(os.path.join(self.folder, self.file + ".turn"), os.O_RDWR | os.O_CREAT | os.O_NOFOLLOW | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            log.warning(event("handover_turn_none", why=error))
+            return
+        while True:
+            try:
+                fcntl.flock(turn, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                self.turn = turn
+                return
+            except OSError as error:
+                if not isinstance(error, BlockingIOError) or self.inbox.clock() > until:
+                    log.warning(event("handover_turn_none", why=error))
+                    os.close(turn)
+                    return
+            time.sleep(self.limits.list_retry / SECOND)
+
+    def end_turn(self) -> None:
+        if self.turn is not None:
+            os.close(self.turn)
+            self.turn = None
+
     # The elder.
 
     def wait(self, side: Side) -> None:
@@ -159,19 +189,25 @@
         with self.waiting:
             if not self.folder or self.sock is not None:
                 return
-            beside = f"{self.file}.{os.getpid()}"
             try:
-                self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-                with self.path(beside) as path:
-                    self.sock.bind(path)
-                    os.chmod(path, 0o600)       # whoever speaks here is handed the clients
-                self.sock.listen(4)
-                # In one step over what an earlier process left: there is never a moment without a name.
-                os.rename(os.path.join(self.folder, beside), os.path.join(self.folder, self.file))
-            except OSError as error:
-                log.warning(event("handover_off", why=error))
-                self.sock.close()
-                return
+                self.listen(side)
+            finally:
+                self.end_turn()
+
+    def listen(self, side: Side) -> None:
+        beside = f"{self.file}.{os.getpid()}"
+        try:
+            self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            with self.path(beside) as path:
+                self.sock.bind(path)
+                os.chmod(path, 0o600)       # whoever speaks here is handed the clients
+            self.sock.listen(4)
+            # In one step over what an earlier process left: there is never a moment without a name.
+            os.rename(os.path.join(self.folder, beside), os.path.join(self.folder, self.file))
+        except OSError as error:
+            log.warning(event("handover_off", why=error))
+            self.sock.close()
+            return
         start_thread(lambda: self.run(side))
 
     def run(self, side: Side) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from threading import Event, Thread
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings as runs
@@ -15,14 +16,17 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from cypresswalk.model import SECOND, Outcome, State
+from cypresswalk.net.beside import Beside
 from cypresswalk.net.calls import Call
+from cypresswalk.net.clock import Clock
 from cypresswalk.net.core import Phase
-from cypresswalk.net.handover import Side, Told, messages
+from cypresswalk.net.handover import VERSION, Side, Told, messages
+from cypresswalk.net.inbox import Inbox
 from cypresswalk.net.lines import ProtocolError
 from cypresswalk.net.registry import server_number
 from helpers import listed
 from test_calls import stand
-from test_net import SEEDED, Bench
+from test_net import LIMITS, SEEDED, Bench
 from test_operated import Operated, free_port
 from test_sockets import ROOT, Lines, Program, Server, start  # noqa: F401 (a fixture)
 
@@ -482,6 +486,27 @@
     assert second.wait(4) == 0 and pair.program.open("a3").hear() == "UP ra3"
 
 
+def test_of_two_that_start_in_the_same_moment_the_second_waits_until_it_can_find_the_first(tmp_path):
+    """Else both listen, and with one of them goes the place where a third would find the other."""
+    clock = Clock()
+    inboxes = [Inbox(clock), Inbox(clock)]
+    first, second = (Beside(str(tmp_path), "b", ("127.0.0.1", 1), inbox, LIMITS) for inbox in inboxes)
+    assert first.meet() is None
+    found = []
+    looking = Thread(target=lambda: found.append(second.meet()), daemon=True)
+    looking.start()
+    looking.join(0.3)
+    assert looking.is_alive()
+    side = SimpleNamespace(hello=lambda now, other: other.send({"welcome": VERSION}, (first.sock.fileno(),)), heard=None,
+                           parted=lambda now, other: None)
+    first.wait(side)
+    call, words = inboxes[0].calls.get(timeout=3)
+    call(clock(), *words)
+    looking.join(3)
+    assert found[0] is not None and first.turn is None and second.turn is None
+    found[0].sock.close()
+
+
 @pytest.mark.parametrize("folder", ["missing", "x" * 120, "file in the way"])
 def test_where_the_folder_is_of_no_use_or_its_name_is_long_it_still_starts_beside(pairs, tmp_path, folder):
     place = tmp_path / folder
