--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -20,7 +20,7 @@
 from cypresswalk.agreement.node import Busy, Kept, Node, Role, Timing, Work
 from cypresswalk.agreement.words import DATA, Entry, Member as One, Members, Word
 from cypresswalk.copies.words import SKEW
-from cypresswalk.fleet import agreed as state
+from cypresswalk.fleet import agreed as state, telling
 from cypresswalk.fleet.agreed import Agreed, AnyCommand
 from cypresswalk.fleet.leases import Given, Held
 from cypresswalk.fleet.places import Places, name_of
@@ -45,6 +45,8 @@
 WAITS_MOST = 20                 # times the longest connect timeout: the longest that a client may ask for (net/core.py)
 MEMBERS = 207                   # seven voters and two hundred that follow
 VOTERS = 7
+TELLS = {"status": telling.status, "show": telling.show, "history": telling.history, "copies": telling.copies,
+         "release": telling.release}
 Reply = Callable[[bool, Any], None]
 
 
@@ -597,7 +599,7 @@
 
     def lead_call(self, now: int, name: str, args: dict[str, Any], reply: Reply) -> None:
         try:
-            if name in ("status", "show", "history", "copies", "release", "turn"):
+            if name in TELLS or name == "turn":
                 self.node.read(now, ("call", name, args, reply))
             elif name == "copies_renew":
                 self.renew_parts(now, [int(part) for part in args["parts"]], str(args["by"]), reply)
@@ -777,9 +779,9 @@
                 if not any(m.id == hail.id for m in self.members):
                     self.answer_hail(hail, replaced=True)
             case ("call", "turn", args, reply):
-                reply(True, self.tell_turn(now, str(args.get("member", ""))))
+                reply(True, telling.turn(self, now, str(args.get("member", ""))))
             case ("call", name, _, reply):
-                reply(True, getattr(self, "tell_" + name)(now))
+                reply(True, TELLS[name](self, now))
 
     def show(self) -> None:
         """A view for the deciding thread, if it is another than the last."""
@@ -790,54 +792,6 @@
         self.views.append(View(s.version, s.settings_version, s.settings, tuple(s.out), s.list_version, tuple(s.servers),
                                tuple(name for name, (_, _, why) in s.away.items() if why.startswith(DRAINED))))
 
-    # What it tells.
-
-    def tell_show(self, now: int) -> dict[str, Any]:
-        s = self.agreed.state
-        return {"version": s.version, "settings_version": s.settings_version, "settings": s.settings, "out": s.out,
-                "list_generation": s.list_generation, "list_version": s.list_version, "servers": s.servers,
-                "pending": msgspec.to_builtins(s.pending), "kept": s.kept}
-
-    def tell_copies(self, now: int) -> dict[str, Any]:
-        return self.placing.told(now, self.agreed.state.parts) if self.placing is not None else {"copies": 0}
-
-    def tell_release(self, now: int) -> dict[str, Any]:
-        s = self.agreed.state
-        return {"release": msgspec.to_builtins(s.release), "halted": s.halted, "halts": s.halts, "away": s.away, "waits": self.releasing.last,
-                "seen_out": self.seen_out(now),
-                "served": {name: [f.up, f.rejected, f.failed, f.took] for name, (f, _) in self.figures.items()}}
-
-    def tell_turn(self, now: int, name: str) -> dict[str, Any]:
-        """To its agent, which asks twice a second: no more than that needs. `crowded`: why one that is being changed may not go out now,
-        since others were lost meanwhile."""
-        s = self.agreed.state
-        if s.release is None or name not in s.release.members:
-            return {"status": ""}
-        plan, status = s.release.plan, s.release.members[name]
-        return {"status": status, "since": plan.since, "to": plan.to, "phase": s.release.phase, "halted": s.halted is not None,
-                "crowded": self.agreed.change_bound(name, self.zones(), self.seen_out(now)) if status == "changing" else ""}
-
-    def tell_history(self, now: int) -> dict[str, Any]:
-        return {"history": [msgspec.to_builtins(record) for record in self.agreed.state.history]}
-
-    def tell_status(self, now: int) -> dict[str, Any]:
-        s, members = self.agreed.state, []
-        for m in self.members:
-            peer = self.node.peers.get(m.id)
-            acts, since = self.acting.get(m.id, (None, now))
-            members.append({
-                "id": m.id, "name": m.name, "voter": m.voter, "address": m.address, "zone": m.zone,
-                "leads": m.id == self.id, "acts_on": acts, "since_s": round((now - since) / SECOND, 1),
-                "lapsed": self.given.lapsed(now, m.id) if self.given else None,
-                "heard_s": 0.0 if peer is None else round((now - peer.heard_at) / SECOND, 1),
-                "behind": 0 if peer is None else self.node.log.last - peer.match, "wipes": self.wiped.get(m.id, 0)})
-        return {"group": self.group, "leader": self.id, "term": self.node.term, "index": self.node.commit,
-                "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
-                "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
-                "pending": msgspec.to_builtins(s.pending), "members": members, "away": s.away, "seen_out": self.seen_out(now),
-                "halted": s.halted, "halts": s.halts, "bounds": s.settings.get("bounds", {}),
-                "parts_without_copies": sorted(self.placing.away) if self.placing is not None else []}
-
 
 def longest_held(settings: dict[str, Any]) -> int:
     """The longest time in nanoseconds for which an id is held under these settings, with the clocks' difference."""
