--- a/cypresswalk/cli/fleet.py
+++ b/cypresswalk/cli/fleet.py
@@ -77,8 +77,15 @@
                f"  settings of version {body['settings_version']}  list {body['list_generation']}")
     if body["pending"]:
         click.echo(f"pending: an offer by {body['pending'][1]}")
+    standing = {name: "" if count is None else f"; {count} flows stand there" for name, count in body["standing"].items()}
     for name, (by, at) in sorted(body["out"].items()):
-        click.echo(f"server {name} is out, by {by}")
+        click.echo(f"server {name} is out, by {by}{standing.get(name, '')}")
+    for name in body["held_out"]:
+        click.echo(f"server {name} is out, by the release{standing.get(name, '')}")
+    for name in sorted(body["coming"]):
+        click.echo(f"server {name} is back, not seen ready yet")
+    for name, why in sorted(body["servers_bad"].items()):
+        click.echo(f"server {name} is {why}")
     if body["halted"]:
         click.echo(f"HALTED by {body['halted'][0]}: {body['halted'][2]}; nothing more goes out until `fleet resume`")
     for name, why in sorted(body["seen_out"].items()):
@@ -285,11 +292,11 @@
     """Changes balancers to another version, in waves, within the bounds, with a halt and a way back."""
 
 
-def planned(asked: Asked, path: str) -> dict[str, Any]:
+def planned(asked: Asked, path: str) -> list[Any]:
     from cypresswalk.rollout import plan
     status = asked.call("status")
-    zones = {m["name"]: m["zone"] for m in status["members"] if m["name"] not in status["left"]}
-    return plan.read(path, zones)
+    members = {m["name"]: m["zone"] for m in status["members"] if m["name"] not in status["left"]}
+    return plan.read(path, members, {name: str(zone) for name, zone, *_ in asked.call("show")["servers"]})
 
 
 @release.command("plan")
@@ -362,21 +369,29 @@
 
 
 @fleet.command(context_settings={"ignore_unknown_options": True})
-@click.option("--member", required=True, help="Its balancer's name in the fleet.")
+@click.option("--member", help="Its balancer's name in the fleet.")
+@click.option("--server", help="In place of it, a server's id as the list names it.")
 @click.option("--root", required=True, type=click.Path(exists=True, file_okay=False), help="Where versions stand, a folder each.")
 @click.option("--folder", required=True, type=click.Path(), help="Its own, for what it is doing.")
 @click.option("--first", required=True, help="The version to run if it has run none yet.")
-@click.option("--admin", nargs=2, required=True, help="Two addresses for calls, HOST:PORT: one for each of two processes side by side.")
+@click.option("--admin", nargs=2, help="A balancer's two addresses for calls, HOST:PORT: one for each of two processes side by side.")
+@click.option("--answers", help="A server's address, HOST:PORT, where it answers PING.")
 @click.argument("command", nargs=-1, required=True)
 @click.pass_obj
-def agent(asked: Asked, member: str, root: str, folder: str, first: str, admin: tuple[str, str], command: tuple[str, ...]) -> None:
-    """Runs a balancer by COMMAND in the folder of its version, and changes it when a release says so."""
+def agent(asked: Asked, member: str | None, server: str | None, root: str, folder: str, first: str, admin: tuple[str, str] | None,
+          answers: str | None, command: tuple[str, ...]) -> None:
+    """Runs a balancer, or a server, by COMMAND in the folder of its version, and changes it when a release says so."""
     import logging
     import signal
     from pathlib import Path
     from cypresswalk.rollout.agent import Agent
+    from cypresswalk.rollout.duty import Duty
+    from cypresswalk.rollout.serving import ServerDuty
+    if not (member and admin and not server and not answers or server and answers and not member and not admin):
+        raise Refusal("--member with --admin, or --server with --answers")
     logging.basicConfig(level=logging.INFO, format="ts=%(created).3f level=%(levelname)s %(message)s")
-    made = Agent(member, asked.fleet, asked.addresses, Path(root), Path(folder), first, admin, list(command))
+    made = Agent(member or server, asked.fleet, asked.addresses, Path(root), Path(folder), first, admin or (answers, answers),
+                 list(command), Duty if member else ServerDuty)
 
     def stop(*_: object) -> None:
         made.over = True
@@ -404,20 +419,32 @@
     """Servers out by hand, for all balancers."""
 
 
-def taken(asked: Asked, name: str, ident: str) -> None:
+def taken(asked: Asked, name: str, ident: str, **more: Any) -> None:
     """The yes means that every balancer acts on it, or may act no more."""
-    body = asked.command(name, server=ident)
+    body = asked.command(name, server=ident, **more)
     asked.span = max(asked.span, 130.0)     # twice the longest time that may be stated, and an election
     asked.call("settled", {"version": body["version"]})
-    click.echo(f"{ident} is {'out' if name == 'out' else 'back'} at every balancer (version {body['version']})")
+    click.echo(f"{ident} is {'out' if name == 'out' else 'back'} at every balancer ({body['why']})")
 
 
 @server.command()
 @click.argument("ident")
+@click.option("--force", is_flag=True, help="Beyond the bounds too; recorded.")
+@click.option("--empty", type=float, default=0.0, metavar="SECONDS", help="Wait so long until no flow stands there.")
 @click.pass_obj
-def down(asked: Asked, ident: str) -> None:
+def down(asked: Asked, ident: str, force: bool, empty: float) -> None:
     """Takes it out at every balancer; after the yes nothing new goes there and it may be switched off once it is empty."""
-    taken(asked, "out", ident)
+    from time import monotonic, sleep
+    taken(asked, "out", ident, forced=force)
+    until = monotonic() + empty
+    while empty:
+        standing = asked.call("status")["standing"].get(ident)
+        if standing == 0:
+            click.echo("no flow stands there")
+            return
+        if monotonic() > until:
+            raise Refusal(f"{'an unknown number of' if standing is None else standing} flows stand there after {empty:g} s")
+        sleep(0.5)
 
 
 @server.command()
--- a/cypresswalk/cli/lab.py
+++ b/cypresswalk/cli/lab.py
@@ -260,11 +260,13 @@
 @click.option("--first", default=0, show_default=True, help="The first of them.")
 @click.option("--jobs", default=os.cpu_count() or 1, show_default=True, help="Processes side by side.")
 @click.option("--acts", default=60, show_default=True, help="Faults and calls in each.")
-def releases(seeds: int, first: int, jobs: int, acts: int) -> int:
+@click.option("--servers", is_flag=True, help="Releases of servers, in place of balancers.")
+def releases(seeds: int, first: int, jobs: int, acts: int, servers: bool) -> int:
     """Plays releases of a whole fleet among random faults and calls in virtual time; shows the course of the first that breaks a rule."""
     from collections import Counter
     from functools import partial
-    from cypresswalk.lab.together.releases import run_seed
+    from cypresswalk.lab.together import releases as of_balancers, servings as of_servers
+    run_seed = (of_servers if servers else of_balancers).run_seed
     met, ends, went, failed = Counter(), Counter(), 0, []
     with ProcessPoolExecutor(jobs) as pool:
         for outcome in pool.map(partial(run_seed, acts=acts), range(first, first + seeds)):
--- a/cypresswalk/fleet/agreed.py
+++ b/cypresswalk/fleet/agreed.py
@@ -16,6 +16,7 @@
 REMEMBERED = 512        # ids of commands carried out, with what came of them: a caller asks again within seconds
 HISTORY = 200           # records of who did what when
 SETTINGS_KEPT = 20      # settings that can be gone back to
+SERVERS = "servers"      # a release's kind
 LIST_MOST = 20_000      # servers in an agreed list
 OUT_MOST = 10_000       # servers out by hand
 
@@ -48,15 +49,21 @@
 
 
 class Out(Command, frozen=True):
-    """`forced`: beyond the bounds too."""
+    """`forced`: beyond the bounds too. `seen`: servers that who leads takes for out, with why."""
     server: str
     forced: bool = False
+    seen: dict[str, str] = {}
 
 
 class Back(Command, frozen=True):
     server: str
 
 
+class Seen(Command, frozen=True):
+    """Servers that most balancers that act have seen ready since they came back, each with the version in which it did."""
+    servers: dict[str, int]
+
+
 class Listing(Command, frozen=True):
     """A list of servers as a majority of voters got it; only a later generation of the same source takes its place."""
     generation: int
@@ -133,6 +140,11 @@
     why: str
 
 
+class Unused(Command, frozen=True):
+    """A server's turn that its agent has not begun: it is in again."""
+    name: str
+
+
 class Held(Command, frozen=True):
     wave: int
 
@@ -159,7 +171,7 @@
 
 
 AnyCommand = (Offer | Activate | Refuse | Out | Back | Listing | Renew | Note | Desire | Fence | Place | Leave | Return | Halt | Resume
-              | Begin | Go | Began | Came | Held | TurnBack | Pause)
+              | Begin | Go | Began | Came | Held | TurnBack | Pause | Seen | Unused)
 commands = msgspec.msgpack.Decoder(AnyCommand)
 encode = msgspec.msgpack.encode
 
@@ -199,6 +211,7 @@
     halted: tuple[str, int, str] | None = None      # by whom, when, why
     halts: int = 0                                  # how often anybody has halted
     parts: dict[int, tuple[int, tuple[str, ...]]] = {}     # of the ids: the view of each, and its holders
+    coming: dict[str, int] = {}                     # servers that are in again and not seen ready yet: since which version
 
 
 states = msgspec.msgpack.Decoder(State)
@@ -254,24 +267,31 @@
                 self.note(s.pending.by, s.pending.at, "settings refused: " + "; ".join(why)[:500])
                 s.pending = None
                 return True, "; ".join(why)
-            case Out(server=server):
+            case Out(server=server, seen=seen):
                 if server in s.out:
                     return True, f"out since version {s.version} or before"
                 if len(s.out) >= OUT_MOST:
                     return False, f"{OUT_MOST} servers are out already"
                 if s.halted:
                     return False, self.said_halted()
-                why = self.server_bound(server)
+                why = self.server_bound(server, seen)
                 if why and not command.forced:
                     return False, why
                 s.out[server] = command.by, command.at
+                s.coming.pop(server, None)
                 self.next(command.by, command.at, f"server {server} out" + (f" by force: {why}" if why else ""))
                 return True, f"version {s.version}"
             case Back(server=server):
                 if s.out.pop(server, None) is None:
-                    return True, "it was not out"
+                    return True, f"release {s.release.plan.name} has it out" if server in self.held_out() else "it was not out"
                 self.next(command.by, command.at, f"server {server} back")
+                if server in self.held_out():
+                    return True, f"version {s.version}; release {s.release.plan.name} has it out still"
+                s.coming[server] = s.version
                 return True, f"version {s.version}"
+            case Seen(servers=servers):
+                s.coming = {server: version for server, version in s.coming.items() if servers.get(server) != version}
+                return True, "noted"
             case Listing(generation=generation, epoch=epoch, servers=servers):
                 # Guards against a list agent that is behind, and a word that overtook another: never back.
                 if epoch != s.list_epoch or generation <= s.list_generation:
@@ -317,8 +337,18 @@
                     s.release.boots = {}        # starts count from here on
                 self.note(command.by, command.at, "resumed")
                 return True, "resumed"
-            case Begin() | Go() | Began() | Came() | Held() | TurnBack() | Pause():
-                return self.on_release(command)
+            case Begin() | Go() | Began() | Came() | Held() | TurnBack() | Pause() | Unused():
+                before = self.held_out()
+                result = self.on_release(command)
+                after = self.held_out()
+                if result[0] and s.release.plan.kind == SERVERS and not isinstance(command, Began):
+                    # Balancers act on it: whom it has out is a part of the version.
+                    self.next(command.by, command.at, f"release {s.release.plan.name}: {len(after)} servers out")
+                    s.coming |= dict.fromkeys(before - after - set(s.out), s.version)
+                    s.coming = {server: version for server, version in s.coming.items() if server not in after}
+                    if isinstance(command, Go):
+                        s.release.outs[command.name] = s.version
+                return result
             case Return(name=name, granted=granted):
                 # Guards a grant that was agreed after this return was proposed.
                 if s.away.get(name) != granted:
@@ -349,12 +379,16 @@
     def change_bound(self, name: str, zones: dict[str, str], seen: dict[str, str]) -> str:
         """On the way back one that is surely out is healed by it, or what a bad version has done to more than the bound allows could never
         be undone."""
+        if self.state.release.plan.kind == SERVERS:
+            fallen = name in seen or self.state.release.members.get(name) == "failed"
+            return self.server_bound(name, seen, self.state.release.phase == "back" and fallen)
         return self.balancer_bound(name, zones, seen, self.state.release.phase == "back" and seen.get(name) in SURELY)
 
     def on_release(self, command: AnyCommand) -> tuple[bool, str]:
         s, by, at = self.state, command.by, command.at
         if isinstance(command, Begin):
-            begun, why = releases.begin(command.plan, by, at, s.release, command.known)
+            known = [name for name, *_ in s.servers] if command.plan.kind == SERVERS else command.known
+            begun, why = releases.begin(command.plan, by, at, s.release, known)
             if begun is None:
                 return False, why
             s.release = begun
@@ -368,6 +402,10 @@
         match command:
             case Go(name=name, zones=zones, seen=seen, boot=boot):
                 why = releases.may_go(now, name, s.halted is not None) or self.change_bound(name, zones, seen)
+                if now.plan.kind == SERVERS:
+                    if not why:
+                        releases.go(now, name, boot)
+                    return not why, why or "it is out"
                 if name in s.away:
                     why = why or f"{name} is out already: {s.away[name][2]}, by {s.away[name][0]}"
                 if not why:
@@ -383,6 +421,10 @@
                     self.halt(f"release {now.plan.name}", at, bad)
                 self.note(by, at, f"{name} runs {runs or 'nothing'}: {now.members.get(name)}")
                 return True, bad or "noted"
+            case Unused(name=name):
+                why = "" if now.plan.kind == SERVERS and now.members.get(name) == "out" else f"{name} is {now.members.get(name)}"
+                if not why:
+                    releases.returned(now, name)
             case Held(wave=wave):
                 why = releases.held(now, wave)
                 if not why:
@@ -405,16 +447,31 @@
             self.state.halted = by, at, why[:200]
             self.note(by, at, f"halt: {why[:200]}")
 
-    def server_bound(self, server: str) -> str:
-        """Why that one may not go out besides those out by hand and by the list. Which the list takes out nobody here can stop: it
-        counts all the same."""
+    def held_out(self) -> set[str]:
+        """Servers that a release has out."""
+        now = self.state.release
+        if now is None or now.plan.kind != SERVERS:
+            return set()
+        return {name for name, status in now.members.items() if status in ("out", "changing", "failed")}
+
+    def all_out(self) -> set[str]:
+        """Servers that nothing new is to go to, whatever the list says."""
+        return set(self.state.out) | self.held_out()
+
+    def server_zones(self) -> dict[str, str]:
+        return {name: str(zone) for name, zone, *_ in self.state.servers}
+
+    def server_bound(self, server: str, seen: dict[str, str], heals: bool = False) -> str:
+        """Why that one may not go out besides those out by hand, by a release and by the list, and those that balancers hold for bad.
+        Which the list takes out nobody here can stop: it counts all the same."""
         s = self.state
         scopes = s.settings.get("bounds", {}).get("servers", {})
         if not scopes:
             return ""
         listed = {name: state for name, _, _, state, _, _ in s.servers if state != "ready"}
-        by_hand = {name: f"by {by}" for name, (by, _) in s.out.items()}
-        return why_not(scopes, {name: str(zone) for name, zone, *_ in s.servers}, by_hand, listed, server)
+        granted = dict.fromkeys(s.coming, "not seen ready again") | {name: f"release {s.release.plan.name}" for name in self.held_out()}
+        granted |= {name: f"by {by}" for name, (by, _) in s.out.items()}
+        return why_not(scopes, self.server_zones(), granted, seen | listed, server, heals)
 
     def next(self, by: str, at: int, what: str) -> None:
         self.state.version += 1
--- a/cypresswalk/fleet/binding.py
+++ b/cypresswalk/fleet/binding.py
@@ -15,16 +15,18 @@
 
 import msgspec
 
+from cypresswalk.choice import MISSES, RISE
 from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.agreed import Listed
 from cypresswalk.fleet.driver import Fleet
 from cypresswalk.fleet.member import CALLED_BACK, DRAINED, View
 from cypresswalk.fleet.places import GO
+from cypresswalk.fleet.words import OfServers
 from cypresswalk.hosting import SettingsError, decode_settings
-from cypresswalk.model import Flow, ListForm, Server, State
+from cypresswalk.model import Flow, ListForm, Outcome, Server, State
 from cypresswalk.net.calls import Call
 from cypresswalk.net.config import Address, Config, read
-from cypresswalk.net.core import FAILED, Core, Phase, Session
+from cypresswalk.net.core import FAILED, Core, Leg, Phase, Session
 from cypresswalk.net.logs import event
 from cypresswalk.net.registry import Registry, server_number
 from cypresswalk.operator import FleetTable
@@ -37,6 +39,9 @@
 FIXED = (("limits", "dialTimeout"), ("extra", "groups"), ("extra", "tellsLoad"), ("extra", "tellsDelay"))
 SPARE = 50_000_000          # nanoseconds beyond its share that a flow waits for word of its claim
 CALL_SPAN = 0.7             # seconds: a caller at `admin_addr` waits one
+TOLD_MOST = 1000            # servers told of at a time: the first by name, the same at all balancers
+UP, REJECTED, FELL, TOOK = range(4)
+ENDS = {Outcome.FULL: REJECTED, Outcome.ERROR: FELL, Outcome.TIMEOUT: FELL, Outcome.CONNECT_FAILED: FELL, Outcome.RESET: FELL}
 TIGHTNESS = {State.READY: 0, State.DRAINING: 1, State.GONE: 2}
 
 
@@ -106,6 +111,9 @@
         self.took = 0           # the sum of set-ups, nanoseconds
         self.last_served = (0, 0, 0, 0)
         self.fleet.served = self.served
+        self.watch = False      # servers are being changed
+        self.by_server: dict[int, list[int]] = {}       # connects brought up, rejected, failed, and their set-ups' sum
+        self.fleet.servers = self.of_servers
         self.fleet.ready = lambda: core.ready and self.fleet.may_act()
         core.agreement = self
         core.lease = self.fleet.may_act
@@ -120,6 +128,36 @@
             pass        # a service type was added meanwhile
         return self.last_served
 
+    # What this balancer sees of servers.
+
+    def came_up(self, leg: Leg, took: int) -> None:
+        self.took += took
+        counts = self.by_server.setdefault(leg.server.id, [0, 0, 0, 0])
+        counts[UP] += 1
+        counts[TOOK] += took
+
+    def fell(self, leg: Leg, outcome: Outcome) -> None:
+        """A connect that came to nothing, or what stood there and was broken off."""
+        if outcome in ENDS:
+            self.by_server.setdefault(leg.server.id, [0, 0, 0, 0])[ENDS[outcome]] += 1
+
+    def of_servers(self) -> OfServers:
+        """By the fleet's thread: copies are taken in one step, each figure by itself."""
+        registry, bad, standing = self.registry(), [], {}
+        for server in list(self.core.balancer.servers.values()):
+            name = registry.names.get(server.id)
+            if name is None:
+                continue
+            if server.barred and server.flows:
+                standing[name] = len(server.flows) + len(server.out)
+            # Out by hand or not: so one that comes back bad is known to be.
+            ready = not server.fresh and server.misses < MISSES and (server.health >= RISE or not server.known)
+            if server.state is State.READY and not ready:
+                bad.append(name)
+        served = {registry.names[ident]: tuple(counts) for ident, counts in list(self.by_server.items())[:TOLD_MOST]
+                  if ident in registry.names} if self.watch else {}
+        return OfServers(sorted(bad)[:TOLD_MOST], standing, served)
+
     # The lease.
 
     def leased(self, now: int) -> None:
@@ -149,7 +187,7 @@
         for ident in sorted(self.out - set(view.out)):
             if ident not in self.here:
                 self.core.obey(now, Call("set-up", ident), known=True)
-        self.out = set(view.out)
+        self.out, self.watch = set(view.out), view.watch
         if view.list_version > self.list_version:
             self.list_version = view.list_version
             self.follow(now, view.servers)
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -19,7 +19,7 @@
 from cypresswalk.fleet.links import STACK, Answers, Links
 from cypresswalk.fleet.member import About, Member, Strange, View
 from cypresswalk.fleet.placing import Placing
-from cypresswalk.fleet.words import PROTOCOL, Call, Hello, Result
+from cypresswalk.fleet.words import PROTOCOL, Call, Hello, OfServers, Result
 from cypresswalk.net.inbox import start_thread
 from cypresswalk.operator import FleetTable
 from cypresswalk.state.disk import Disk, Taken
@@ -78,6 +78,7 @@
                                  lambda holds: self.queue.put(("holds", holds)), table.copies.most_ids)
         self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
         self.ready: Callable[[], bool | None] = lambda: None    # asked by the fleet's thread
+        self.servers: Callable[[], OfServers] = OfServers
         self.places: dict[str, str] = {}        # addresses that others named: one that just joined knows no members yet
         self.names = {where: name for name, where in table.first.items()}
 
@@ -243,7 +244,7 @@
         copies = self.table.copies
         placing = Placing(ident, copies.copies, copies.least) if copies is not None else None
         self.member = Member(self.about, ident, group, kept, self.now(), self.chance, self.check, self.own, placing)
-        self.member.ready, self.member.served = self.ready, self.served
+        self.member.ready, self.member.served, self.member.servers = self.ready, self.served, self.servers
         self.member.boot = self.boot
         self.member.wall = lambda: self.wall() // 1_000_000
         self.member.wipes, self.member.acts_on, self.inherited = self.wipes, self.acts_on, self.until
--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -26,9 +26,10 @@
 from cypresswalk.fleet.places import Places, name_of
 from cypresswalk.fleet.placing import Placing
 from cypresswalk.fleet.releasing import Releasing
-from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, Result
+from cypresswalk.fleet.wards import Wards
+from cypresswalk.fleet.words import AnyFrame, Ask, Call, Grant, Hail, HailAnswer, OfServers, Result
 from cypresswalk.rollout.evidence import Served
-from cypresswalk.rollout.release import Plan
+from cypresswalk.rollout.release import UNFINISHED, Plan
 
 log = logging.getLogger(__name__)
 SECOND = 1_000_000_000
@@ -84,6 +85,7 @@
     list_version: int
     servers: tuple
     away: tuple[str, ...] = ()      # balancers that were drained by call
+    watch: bool = False             # servers are being changed: what each answers is to be told
 
 
 @dataclass(slots=True)
@@ -141,6 +143,8 @@
         self.holds = False
         self.ready: Callable[[], bool | None] = lambda: None    # of this balancer, as its deciding thread has it
         self.served: Callable[[], tuple[int, int, int, int]] = lambda: (0, 0, 0, 0)
+        self.servers: Callable[[], OfServers] = OfServers
+        self.wards = Wards(about.stated)                        # at the leader
         self.boot = 0                                           # how often it has started under this identity
         self.boots: dict[str, int] = {}                         # at the leader, by name
         self.figures: dict[str, tuple[Served, int]] = {}        # and what each has served, and when it said so
@@ -220,7 +224,7 @@
         """It leads now, or does no more."""
         self.given = Given(self.about.stated, now) if self.leads else None
         self.objections, self.reports, self.joining, self.acting, self.wiped = {}, {}, {}, {}, {}
-        self.places = Places(self.about.stated)
+        self.places, self.wards = Places(self.about.stated), Wards(self.about.stated)
         self.figures, self.boots, self.releasing = {}, {}, Releasing()
         self.results = {}
         settling, self.settling = self.settling, []
@@ -345,7 +349,7 @@
         objection = self.check(pending.settings)[:300] if pending else ""
         generation, digest, _ = self.list_told
         ask = Ask(self.held.ask(now), self.acts_on, offer, objection, generation, digest, self.wipes, self.holds, self.ready(),
-                  self.served(), self.boot, self.held.latest)
+                  self.served(), self.boot, self.held.latest, self.servers())
         if self.leads:
             self.asked(now, self.id, ask)
         else:
@@ -366,6 +370,7 @@
         name = name_of(source)
         self.figures[name], self.boots[name] = (Served(*ask.served), now), ask.boot
         self.places.asked(now, source, ask.ready, ask.lease)
+        self.wards.asked(now, source, ask.version, ask.servers)
         try:
             self.node.read(now, ("lease", source, ask.number))
         except Busy:
@@ -394,6 +399,7 @@
             self.tend_members(now)
             self.tend_copies(now)
             self.tend_away(now)
+            self.tend_coming(now)
             self.tend_release(now)
         except Busy:
             pass        # at the next look
@@ -463,6 +469,33 @@
         if free is not None:
             self.propose(now, state.Return(*self.head("return"), *free))
 
+    def idents(self) -> set[str]:
+        """Of members that have not left."""
+        return {m.id for m in self.members if m.name not in self.agreed.state.left}
+
+    def bad_servers(self, now: int) -> dict[str, str]:
+        """Raises Busy where a bound rests on it and nobody can tell yet."""
+        if not self.wards.can_tell(now, self.idents()) and self.agreed.state.settings.get("bounds", {}).get("servers"):
+            raise Busy(telling.UNTOLD)
+        return self.wards.bad(now, self.idents())
+
+    def standing(self, now: int, server: str) -> int | None:
+        """Flows at a server of all balancers that may act; None where one of them has not said."""
+        acting = {ident for ident in self.idents() if self.given is None or not self.given.lapsed(now, ident)}
+        return self.wards.standing(now, acting, server)
+
+    def tend_coming(self, now: int) -> None:
+        s = self.agreed.state
+        self.wards.keep(self.idents())
+        if s.coming:
+            ready = self.wards.ready_again(now, self.idents(), s.coming, {name for name, *_ in s.servers})
+            if ready:
+                self.propose(now, state.Seen(*self.head("seen"), ready))
+
+    def settled(self, version: int, now: int) -> bool:
+        """Whether every balancer acts on that version, or acts no more."""
+        return self.given is not None and not self.given.may_act_below(now, version, [m.id for m in self.members])
+
     def head(self, what: str, by: str = "") -> tuple[str, str, int]:
         """Of a command that the leader proposes by itself."""
         return f"{what}:{self.chance.getrandbits(64):016x}", by or self.about.name, self.wall()
@@ -471,15 +504,22 @@
         s = self.agreed.state
         if s.release is None or self.node.log.term(self.node.commit) != self.node.term:
             return
-        seen = self.seen_out(now)
-        served = {name: figures for name, (figures, at) in self.figures.items() if now - at <= self.about.stated}
-        do = self.releasing.tend(now, s.release, s.halted is not None, served, set(seen), set(s.away), self.boots)
+        if s.release.plan.kind == state.SERVERS:
+            seen, zones = self.bad_servers(now), {}
+            served, out, away, boots = self.wards.served, set(seen) - set(s.coming), self.agreed.held_out() | set(s.coming), {}
+        else:
+            seen, zones = self.seen_out(now), self.zones()
+            served = {name: figures for name, (figures, at) in self.figures.items() if now - at <= self.about.stated}
+            out, away, boots = set(seen), set(s.away), self.boots
+        do = self.releasing.tend(now, s.release, s.halted is not None, served, out, away, boots)
         if do is None:
             return
         head = self.head("release", f"release {s.release.plan.name}")
         match do.what:
             case "go":
-                self.propose(now, state.Go(*head, do.name, self.zones(), seen, self.boots.get(do.name, 0)))
+                self.propose(now, state.Go(*head, do.name, zones, seen, boots.get(do.name, 0)))
+            case "unused":
+                self.propose(now, state.Unused(*head, do.name))
             case "held":
                 self.propose(now, state.Held(*head, do.wave))
             case "halt":
@@ -629,9 +669,16 @@
             head = str(args["ident"]), str(args["by"]), int(args["at"]), str(args["member"])
             if name == "go_out":
                 return state.Leave(*head, str(args["why"]), bool(args.get("forced")), self.zones(), self.seen_out(now))
-            return state.Began(*head, str(args["to"]), self.zones(), self.seen_out(now))
+            release = self.agreed.state.release
+            if release is None or release.plan.kind != state.SERVERS:
+                return state.Began(*head, str(args["to"]), self.zones(), self.seen_out(now))
+            if not self.settled(release.outs.get(str(args["member"]), 1 << 62), now):
+                raise ValueError("not every balancer acts on it yet")
+            return state.Began(*head, str(args["to"]), {}, self.bad_servers(now))
         if name not in kinds:
             raise ValueError("no such call")
+        if name == "out":
+            args = args | {"seen": self.bad_servers(now)}
         command = kinds[name](**args)
         return msgspec.convert(msgspec.to_builtins(command), type(command))
 
@@ -789,8 +836,9 @@
         if self.applied < 0 or self.viewed == (s.version,):
             return
         self.viewed = (s.version,)
-        self.views.append(View(s.version, s.settings_version, s.settings, tuple(s.out), s.list_version, tuple(s.servers),
-                               tuple(name for name, (_, _, why) in s.away.items() if why.startswith(DRAINED))))
+        watch = s.release is not None and s.release.plan.kind == state.SERVERS and s.release.phase in UNFINISHED
+        self.views.append(View(s.version, s.settings_version, s.settings, tuple(sorted(self.agreed.all_out())), s.list_version,
+                               tuple(s.servers), tuple(name for name, (_, _, why) in s.away.items() if why.startswith(DRAINED)), watch))
 
 
 def longest_held(settings: dict[str, Any]) -> int:
--- a/cypresswalk/fleet/telling.py
+++ b/cypresswalk/fleet/telling.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
+from cypresswalk.fleet.agreed import SERVERS
 from cypresswalk.fleet.places import SECOND
 
 if TYPE_CHECKING:
     from cypresswalk.fleet.member import Member
 
+UNTOLD = "most balancers have not said yet which servers are bad"
+
 
 def show(member: "Member", now: int) -> dict[str, Any]:
     s = member.agreed.state
@@ -24,7 +27,7 @@
 def release(member: "Member", now: int) -> dict[str, Any]:
     s = member.agreed.state
     return {"release": msgspec.to_builtins(s.release), "halted": s.halted, "halts": s.halts, "away": s.away, "waits": member.releasing.last,
-            "seen_out": member.seen_out(now),
+            "seen_out": member.seen_out(now), "servers_bad": member.wards.bad(now, member.idents()), "coming": s.coming,
             "served": {name: [f.up, f.rejected, f.failed, f.took] for name, (f, _) in member.figures.items()}}
 
 
@@ -35,6 +38,13 @@
     if s.release is None or name not in s.release.members:
         return {"status": ""}
     plan, status = s.release.plan, s.release.members[name]
+    if plan.kind == SERVERS:
+        seen = member.wards.bad(now, member.idents())
+        told = member.wards.can_tell(now, member.idents())
+        return {"status": status, "since": plan.since, "to": plan.to, "phase": s.release.phase, "halted": s.halted is not None,
+                "crowded": "" if status != "changing" else member.agreed.change_bound(name, {}, seen) if told else UNTOLD,
+                "settled": member.settled(s.release.outs.get(name, 1 << 62), now),
+                "standing": member.standing(now, name), "empty_s": plan.empty_s}
     return {"status": status, "since": plan.since, "to": plan.to, "phase": s.release.phase, "halted": s.halted is not None,
             "crowded": member.agreed.change_bound(name, member.zones(), member.seen_out(now)) if status == "changing" else ""}
 
@@ -58,5 +68,7 @@
             "version": s.version, "settings_version": s.settings_version, "list_generation": s.list_generation,
             "list_version": s.list_version, "out": s.out, "voters": s.voters, "left": s.left,
             "pending": msgspec.to_builtins(s.pending), "members": members, "away": s.away, "seen_out": member.seen_out(now),
-            "halted": s.halted, "halts": s.halts, "bounds": s.settings.get("bounds", {}),
+            "halted": s.halted, "halts": s.halts, "bounds": s.settings.get("bounds", {}), "held_out": sorted(member.agreed.held_out()),
+            "coming": s.coming, "servers_bad": member.wards.bad(now, member.idents()),
+            "standing": {name: member.standing(now, name) for name in sorted(member.agreed.all_out())},
             "parts_without_copies": sorted(member.placing.away) if member.placing is not None else []}
--- a/cypresswalk/fleet/words.py
+++ b/cypresswalk/fleet/words.py
@@ -66,6 +66,15 @@
     members: Members
 
 
+class OfServers(msgspec.Struct, frozen=True, array_like=True):
+    """What a balancer has to say of servers. `bad`: in service by its list and not ready for flows, by its own probes and connects,
+    whether or not they are out by hand; `standing`: its flows at those that are out; `served`: of each, connects brought up, rejected and
+    failed since this process began, and their set-ups' sum, while a release of servers is under way."""
+    bad: list[str] = []
+    standing: dict[str, int] = {}
+    served: dict[str, tuple[int, int, int, int]] = {}
+
+
 class Ask(Word, frozen=True):
     """For a lease, and what its sender has to tell the leader meanwhile."""
     number: int
@@ -80,6 +89,7 @@
     served: tuple[int, int, int, int] = (0, 0, 0, 0)    # flows up, rejected, failed since its process began, and their set-ups' sum
     boot: int = 0       # how often it has started
     lease: int = 0      # number of the latest that it was granted: what this word says was so after that was given
+    servers: OfServers = OfServers()
 
 
 class Grant(Word, frozen=True):
--- a/cypresswalk/lab/together/machines.py
+++ b/cypresswalk/lab/together/machines.py
@@ -45,27 +45,104 @@
         file.write(f"\n\nfrom cypresswalk.net import core\nfrom cypresswalk.net.core import Core\n{BAD[kind]}\n")
 
 
-class Machines(Rig):
+class Released(Rig):
+    """What people do about releases, of balancers or of servers, and what of it a judge reads."""
+
     def __init__(self, plan: Plan, folder: Path, **more: Any):
         super().__init__(plan, folder, **more)
-        self.program = self.words
         self.root = folder / "versions"
-        self.second: dict[str, str] = {}        # each balancer's other address for calls
         self.runs, self.kinds = FIRST, {FIRST: "good"}
         self.releases = 0
-        self.steps: dict[str, str] = {}         # what each agent was last seen doing
-        self.fronts: dict[str, bool] = {}
         self.own: list[judges.Span] = []        # out, or being changed, by the program's doing
         self.open_own: dict[tuple[str, str], int] = {}
         self.lost: list[judges.Span] = []       # fronts that answered nobody
         self.open_lost: dict[str, int] = {}
-        self.drained: set[str] = set()
-        self.drains: list[tuple[int, str]] = []
         self.halts: list[tuple[int, int]] = []  # asked, and the yes
         self.resumes: list[int] = []            # asked
         self.turned: list[int] = []
         self.wall = time.time() - time.monotonic()
 
+    def turn_own(self, now: int, name: str, how: str, out: bool) -> None:
+        if out:
+            self.open_own.setdefault((name, how), now)
+        elif (name, how) in self.open_own:
+            self.own.append(judges.Span(name, self.open_own.pop((name, how)), now, how))
+
+    def turn_lost(self, name: str, answers: bool, began: int) -> None:
+        if not answers:
+            self.open_lost[name] = began
+        elif name in self.open_lost:
+            self.lost.append(judges.Span(name, self.open_lost.pop(name), time.monotonic_ns(), "lost"))
+
+    def spans(self) -> tuple[list[judges.Span], list[judges.Span]]:
+        """Own and lost, those also that have not ended."""
+        now = time.monotonic_ns()
+        return (self.own + [judges.Span(name, begin, now, how) for (name, how), begin in self.open_own.items()],
+                self.lost + [judges.Span(name, begin, now, "lost") for name, begin in self.open_lost.items()])
+
+    def said_at(self, log: Path, *words: str) -> list[tuple[int, str]]:
+        """When an agent said one of them."""
+        try:
+            lines = log.read_text(errors="replace").splitlines()
+        except OSError:
+            return []
+        return [(int((float(line[3:].split()[0]) - self.wall) * SECOND), word)
+                for line in lines if line.startswith("ts=") for word in words if f"event={word}" in line]
+
+    async def people(self, step: Step, who: str) -> bool:
+        """Whether it is theirs to do."""
+        match step.do:
+            case "release":
+                self.spawn(self.release(step))
+            case "release_back":
+                self.spawn(self.turn_back(who))
+            case "halt":
+                self.spawn(self.halt(who))
+            case "resume":
+                self.spawn(self.resume(who))
+            case "pause" | "unpause":
+                self.spawn(self.command(who, "release_pause", release=self.last_name, on=step.do == "pause"))
+            case _:
+                return False
+        return True
+
+    async def release(self, step: Step) -> str:
+        raise NotImplementedError
+
+    @property
+    def last_name(self) -> str:
+        return f"r{self.releases}"
+
+    async def turn_back(self, who: str) -> None:
+        self.turned.append(time.monotonic_ns())
+        result, body = await self.command(who, "release_back", release=self.last_name)
+        self.note("told", call="release_back", result=result, body=str(body)[:200])
+
+    async def halt(self, who: str) -> None:
+        asked = time.monotonic_ns()
+        result, body = await self.command(who, "halt", why="by the rig")
+        self.note("told", call="halt", result=result, body=str(body)[:200])
+        if result == "yes":
+            self.halts.append((asked, time.monotonic_ns()))
+
+    async def resume(self, who: str) -> None:
+        result, body = await self.ask(who, "status")
+        if result == "yes":
+            self.resumes.append(time.monotonic_ns())
+            result, body = await self.command(who, "resume", halts=body["halts"])
+            self.note("told", call="resume", result=result, body=str(body)[:200])
+
+
+class Machines(Released):
+    def __init__(self, plan: Plan, folder: Path, **more: Any):
+        super().__init__(plan, folder, **more)
+        self.program = self.words
+        self.second: dict[str, str] = {}        # each balancer's other address for calls
+        self.steps: dict[str, str] = {}         # what each agent was last seen doing
+        self.fronts: dict[str, bool] = {}
+        self.drained: set[str] = set()
+        self.drains: list[tuple[int, str]] = []
+
     # Machines.
 
     async def begin(self) -> None:
@@ -166,12 +243,6 @@
                     self.note("agent", who=name, step=step)
                     self.turn_own(now, name, "changed", step in ("beside", "leaving"))
 
-    def turn_own(self, now: int, name: str, how: str, out: bool) -> None:
-        if out:
-            self.open_own.setdefault((name, how), now)
-        elif (name, how) in self.open_own:
-            self.own.append(judges.Span(name, self.open_own.pop((name, how)), now, how))
-
     async def watch_front(self, name: str) -> None:
         await asyncio.sleep(self.chance.random() * FRONT)
         while True:
@@ -190,24 +261,15 @@
             if answers != self.fronts.get(name):
                 self.note("front", who=name, answers=answers)
                 self.fronts[name] = answers
-                if not answers:
-                    self.open_lost[name] = began
-                elif name in self.open_lost:
-                    self.lost.append(judges.Span(name, self.open_lost.pop(name), time.monotonic_ns(), "lost"))
+                self.turn_lost(name, answers, began)
             await asyncio.sleep(FRONT)
 
     def read_logs(self) -> tuple[list[tuple[int, str]], list[tuple[int, str]]]:
         """When agents told balancers to leave, and found that one had ended by itself."""
         told, fell = [], []
         for name in self.names:
-            try:
-                lines = (self.processes[name].folder / "log").read_text(errors="replace").splitlines()
-            except OSError:
-                continue
-            for line in lines:
-                if line.startswith("ts=") and ("event=told_to_leave" in line or "event=ended_by_itself" in line):
-                    at = int((float(line[3:].split()[0]) - self.wall) * SECOND)
-                    (told if "event=told_to_leave" in line else fell).append((at, name))
+            for at, word in self.said_at(self.processes[name].folder / "log", "told_to_leave", "ended_by_itself"):
+                (told if word == "told_to_leave" else fell).append((at, name))
         return sorted(told), sorted(fell)
 
     # What people do.
@@ -216,16 +278,6 @@
         who = await self.leader() if step.who == "leader" else step.who
         p = self.processes.get(who)
         match step.do:
-            case "release":
-                self.spawn(self.release(step))
-            case "release_back":
-                self.spawn(self.turn_back(who))
-            case "halt":
-                self.spawn(self.halt(who))
-            case "resume":
-                self.spawn(self.resume(who))
-            case "pause" | "unpause":
-                self.spawn(self.command(who, "release_pause", release=self.last_name, on=step.do == "pause"))
             case "kill_agent":
                 self.kill_agent(who)
             case "start_agent" if p.popen is None or p.popen.poll() is not None:
@@ -240,15 +292,13 @@
             case "freeze" if p.popen is not None and not p.frozen:
                 self.signal(who, signal.SIGSTOP)
                 await super().do(step)
+            case _ if await self.people(step, who):
+                pass
             case _:
                 await super().do(step)
                 return
         self.note("step", do=step.do, who=who)
 
-    @property
-    def last_name(self) -> str:
-        return f"r{self.releases}"
-
     async def release(self, step: Step) -> str:
         _, body = await self.ask(self.names[0], "show")
         self.releases += 1
@@ -262,25 +312,6 @@
         self.note("told", call="release", name=self.last_name, to=to, build=step.build, result=result, body=str(body)[:200])
         return result
 
-    async def turn_back(self, who: str) -> None:
-        self.turned.append(time.monotonic_ns())
-        result, body = await self.command(who, "release_back", release=self.last_name)
-        self.note("told", call="release_back", result=result, body=str(body)[:200])
-
-    async def halt(self, who: str) -> None:
-        asked = time.monotonic_ns()
-        result, body = await self.command(who, "halt", why="by the rig")
-        self.note("told", call="halt", result=result, body=str(body)[:200])
-        if result == "yes":
-            self.halts.append((asked, time.monotonic_ns()))
-
-    async def resume(self, who: str) -> None:
-        result, body = await self.ask(who, "status")
-        if result == "yes":
-            self.resumes.append(time.monotonic_ns())
-            result, body = await self.command(who, "resume", halts=body["halts"])
-            self.note("told", call="resume", result=result, body=str(body)[:200])
-
     async def call_balancer(self, name: str, line: str) -> str:
         host, _, port = self.doing(name).get("admin", "").rpartition(":")
         writer = None
@@ -346,9 +377,7 @@
         for at, name in fell:       # by the build's fault, or the rig's
             self.processes[name].harmed.append((at - 4 * SECOND, at + SECOND))
         report = await super().verdict() | end
-        now = time.monotonic_ns()
-        own = self.own + [judges.Span(name, begin, now, how) for (name, how), begin in self.open_own.items()]
-        lost = self.lost + [judges.Span(name, begin, now, "lost") for name, begin in self.open_lost.items()]
+        own, lost = self.spans()
         most = allowed(self.plan.bound, len(self.names)) if self.plan.bound else len(self.names)
         went = sorted([(at, name, "release") for at, name in told] + [(at, name, "drain") for at, name in self.drains])
         most_own, most_all, broken = judges.out_at_once(own, lost, went, most, self.turned, SLACK + self.late + int(LOOK * SECOND))
--- a/cypresswalk/lab/together/plan.py
+++ b/cypresswalk/lab/together/plan.py
@@ -10,12 +10,16 @@
 Do = Literal["cut", "cut_one_way", "slow", "garble", "isolate", "heal", "kill", "start", "stop", "freeze", "thaw", "wipe", "put_back",
              "copy", "out", "back", "offer", "show", "server_down", "lag", "lie", "list_drain", "half_close", "disk_full", "disk_fails",
              "disk_slow", "server_restart",
-             "release", "release_back", "halt", "resume", "pause", "unpause", "kill_agent", "start_agent", "kill_balancer", "drain", "undrain"]
+             "release", "release_back", "halt", "resume", "pause", "unpause", "kill_agent", "start_agent", "kill_balancer", "drain", "undrain",
+             "kill_server_agent", "start_server_agent", "kill_server"]
 Build = Literal["good", "rejects", "aborts", "slow", "falls", "never_ready", "unreadable"]
+OF_SERVERS = {"good", "aborts", "slow", "falls", "never_ready"}
 PAIRS = {"cut", "cut_one_way", "slow", "garble", "half_close"}
 DISKS = {"disk_full", "disk_fails", "disk_slow"}     # until all is healed
-NOBODY = {"heal", "list_drain", "server_restart", "release"}
-BY_AGENTS = {"release", "release_back", "halt", "resume", "pause", "unpause", "kill_agent", "start_agent", "kill_balancer", "drain", "undrain"}
+BY_SERVER_AGENTS = {"kill_server_agent", "start_server_agent", "kill_server"}
+NOBODY = {"heal", "list_drain", "server_restart", "release"} | BY_SERVER_AGENTS
+BY_EITHER = {"release", "release_back", "halt", "resume", "pause", "unpause"}
+BY_AGENTS = {"kill_agent", "start_agent", "kill_balancer", "drain", "undrain"}
 
 
 class Step(toml.Table):
@@ -52,11 +56,15 @@
     seed: int = 0
     agents: bool = False                # on each balancer's machine; without them there is no release
     bound: int = Field(0, ge=0)         # on balancers out at once; 0: none
+    server_agents: bool = False         # on each server's machine: releases are of servers
+    server_bound: int = Field(1, ge=1)  # with them: on servers out at once
     clocks: dict[str, float] = {}       # balancers whose fleet's clock runs fast by that part, 0.01 for 1%
     step: list[Step] = []
 
     @model_validator(mode="after")
     def names(self) -> "Plan":
+        if self.agents and self.server_agents:
+            raise ValueError("agents, server_agents: one of them")
         if self.voters > self.balancers:
             raise ValueError("voters: more than balancers")
         for name, off in self.clocks.items():
@@ -67,8 +75,12 @@
             for field in ("who", "other"):
                 if getattr(step, field) not in known:
                     raise ValueError(f"step[{i}].{field}: {getattr(step, field)!r} is none of n0 to n{self.balancers - 1}, leader")
-            if step.do in BY_AGENTS and not self.agents:
+            if step.do in BY_AGENTS and not self.agents or step.do in BY_EITHER and not (self.agents or self.server_agents):
                 raise ValueError(f"step[{i}].do: {step.do} needs agents = true")
+            if step.do in BY_SERVER_AGENTS and not self.server_agents:
+                raise ValueError(f"step[{i}].do: {step.do} needs server_agents = true")
+            if self.server_agents and step.build not in OF_SERVERS:
+                raise ValueError(f"step[{i}].build: {step.build}: of servers there are {', '.join(sorted(OF_SERVERS))}")
             if step.server >= self.servers:
                 raise ValueError(f"step[{i}].server: there are {self.servers}")
         return self
--- a/cypresswalk/lab/together/stage.py
+++ b/cypresswalk/lab/together/stage.py
@@ -53,7 +53,7 @@
     """Stand-ins that answer every flow, and write down who came when from where."""
 
     def __init__(self, rig: "Rig", count: int):
-        self.rig = rig
+        self.rig, self.host = rig, rig.beside
         self.names = [f"s-{i}" for i in range(count)]
         self.ports: dict[tuple[str, str], int] = {}         # by server and balancer: so that it is known who sent
         self.open: dict[str, set[asyncio.StreamWriter]] = {name: set() for name in self.names}
@@ -137,7 +137,7 @@
             if balancer in self.lying:
                 state = "in_service"
             self.rig.see("told", who=balancer, server=name, life=state, version=known)
-            entries.append({"instanceId": name, "hostPort": f"{self.rig.beside}:{self.rig.servers.ports[name, balancer]}", "zone": "a",
+            entries.append({"instanceId": name, "hostPort": f"{self.rig.servers.host}:{self.rig.servers.ports[name, balancer]}", "zone": "a",
                             "machineType": "m", "cell": 1, "lifecycle": state, "weight": 1.0, "startedAtMs": started})
         return json.dumps({"generation": 1 + known, "reset": whole, "instances": entries}).encode() + b"\n"
 
@@ -421,7 +421,7 @@
 
     async def flow(self, ident: str, name: str, kind: str) -> None:
         asked, wait = time.monotonic_ns(), 1500
-        answer, writer = "none", None
+        answer, writer, answered = "none", None, 0
         try:
             async with asyncio.timeout(wait / 1000 + 1):
                 reader, writer = await asyncio.open_connection(*self.processes[name].listen)
@@ -431,6 +431,8 @@
                 answer = line.split(" ")[0] or "end"
                 if line:
                     self.see("answer", ident, name, kind={"UP": "up", "BUSY": "busy"}.get(answer, "failed"), line=line)
+            answered = time.monotonic_ns()
+            await self.stays(reader, answer)
         except ConnectionRefusedError:
             answer = "refused"          # nobody took it
         except OSError as error:
@@ -438,12 +440,15 @@
         except TimeoutError:
             pass
         finally:
-            answered = time.monotonic_ns()
+            answered = answered or time.monotonic_ns()
             if writer is not None:
                 writer.close()
         self.flows.append(judges.Flow(ident, EFFECTS[kind], asked, asked + wait * 1_000_000, answer, answered, name))
         self.note("answer", flow=ident, balancer=name, answer=answer, took_ms=round((answered - asked) / 1e6, 1))
 
+    async def stays(self, reader: asyncio.StreamReader, answer: str) -> None:
+        """A client that has its answer goes."""
+
     # The plan.
 
     async def play(self) -> None:
@@ -668,6 +673,8 @@
 async def played(plan: Plan, folder: Path, **more: Any) -> dict[str, Any]:
     if plan.agents:
         from cypresswalk.lab.together.machines import Machines as kind
+    elif plan.server_agents:
+        from cypresswalk.lab.together.serving import ServerMachines as kind
     else:
         kind = Rig
     rig = kind(plan, folder, **more)
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -229,7 +229,7 @@
         if self.claims is not None:
             self.claims.finish(flow, "ran")
         if self.agreement is not None:
-            self.agreement.took += now - leg.sent
+            self.agreement.came_up(leg, now - leg.sent)
         self.counters.add("flows_established")
         self.figures.ended("fulfilled", session.opening.values["c"])
         self.drivers.join(leg)
@@ -240,6 +240,8 @@
         if session.leg is not leg or session.over:
             return
         self.counters.add("connects_" + outcome.name.lower())
+        if self.agreement is not None:
+            self.agreement.fell(leg, outcome)
         if session.standing:
             session.over = True
         else:
--- a/cypresswalk/rollout/agent.py
+++ b/cypresswalk/rollout/agent.py
@@ -1,4 +1,5 @@
-"""The agent on a balancer's machine: runs one version of it, and changes that when the fleet's release says so (duty.py). It runs what
+"""The agent on a balancer's machine, or a server's: runs one version of it, and changes that when the fleet's release says so (duty.py,
+serving.py). It runs what
 stands in a folder that is there, nothing is fetched. What it is doing stands in `agent.json` in its own folder."""
 
 import json
@@ -24,13 +25,15 @@
 
 class Agent:
     def __init__(self, member: str, fleet: str, addresses: list[str], root: Path, folder: Path, first: str, admins: tuple[str, str],
-                 command: list[str]):
-        """`root`: where versions stand, a folder each. `command`: what is run there, with its environment as this one's."""
+                 command: list[str], duty: type[Duty] = Duty):
+        """`member`: the balancer, or the server. `admins`: where it is called; a server has one address, at which it answers PING.
+        `root`: where versions stand, a folder each. `command`: what is run there, with its environment as this one's."""
         self.fleet, self.addresses, self.root, self.folder = fleet, addresses, root, folder
         self.by, self.command = f"agent of {member}", command
         folder.mkdir(parents=True, exist_ok=True)
         self.doing = self.load()
-        self.duty = Duty(member, first, admins, self.doing)
+        self.duty = duty(member, first, admins, self.doing)
+        self.asks, self.yes = (b"check\r\n", "OK") if duty is Duty else (b"PING\r\n", "PONG")
         self.children: dict[int, subprocess.Popen] = {}
         self.over = False
 
@@ -120,11 +123,11 @@
         try:
             with socket.create_connection((host, int(port)), timeout=1) as sock:
                 sock.settimeout(1)
-                sock.sendall(b"check\r\n")
+                sock.sendall(self.asks)
                 line = sock.makefile("rb").readline().decode(errors="replace").strip()
         except OSError as error:
             return f"check: {error}"
-        return "" if line == "OK" else line or "check: no answer"
+        return "" if line == self.yes else line or "check: no answer"
 
     # The fleet.
 
--- a/cypresswalk/rollout/duty.py
+++ b/cypresswalk/rollout/duty.py
@@ -34,9 +34,10 @@
     admin: str = ""
     to: str = ""
     young: int = 0
-    step: str = ""          # "", "beside", "leaving", "told"
+    step: str = ""          # "", "beside", "leaving", "told"; a server's are in serving.py
     why: str = ""
     change: str = ""        # which one it is
+    failed: bool = False    # of a server: neither version answers
 
 
 # What it wants done, and what it is sent.
@@ -208,12 +209,16 @@
                     return "the release has turned"
                 if turn["halted"] and turn["phase"] != "back":
                     return "halted before the one that runs was told to leave"
-                why = turn["crowded"]
+                why = turn["crowded"] or self.busy(turn)
                 if not why:
                     return ""
             yield Wait(LOOK)
         return why
 
+    def busy(self, turn: dict[str, Any]) -> str:
+        """Why what runs may not be told to leave yet, beside what holds for all."""
+        return ""
+
     def go_beside(self) -> Work:
         doing = self.doing
         why = ""
@@ -252,12 +257,15 @@
         doing.version, doing.pid, doing.admin = doing.to, doing.young, admin
         yield from self.next("told", why)
 
+    def runs_now(self) -> str:
+        """The version that serves, or nothing."""
+        return "" if self.doing.why and self.doing.version == self.doing.to else self.doing.version
+
     def go_told(self) -> Work:
         """Again until the fleet has it."""
         doing = self.doing
-        runs = "" if doing.why and doing.version == doing.to else doing.version
         # One ident for all tries: guards the next change against one of them that comes late.
-        ok, body = yield Ask("release_came", {"name": self.member, "runs": runs, "why": doing.why}, f"came:{doing.change}")
+        ok, body = yield Ask("release_came", {"name": self.member, "runs": self.runs_now(), "why": doing.why}, f"came:{doing.change}")
         if ok:
             log.info("event=told version=%s why=%s", doing.version, doing.why or "-")
             doing.to, doing.young, doing.change = "", 0, ""
--- a/cypresswalk/rollout/plan.py
+++ b/cypresswalk/rollout/plan.py
@@ -1,5 +1,8 @@
 """The file that a release is started from: its waves named, or drawn up from zones and a first small one."""
 
+from typing import Literal
+
+import msgspec
 from pydantic import Field, model_validator
 
 from cypresswalk import toml
@@ -21,6 +24,8 @@
     worse: float = 0.01
     slower: float = 1.5
     change_s: float = 120
+    kind: Literal["balancers", "servers"] = "balancers"
+    empty_s: float = 30
 
     @model_validator(mode="after")
     def fits(self) -> "File":
@@ -42,14 +47,16 @@
     return waves
 
 
-def read(path: str, zones: dict[str, str]) -> list:
-    """A plan as the fleet takes it. `zones`: of all members, by name. Raises Refusal with a line for each thing that is wrong."""
+def read(path: str, members: dict[str, str], servers: dict[str, str]) -> list:
+    """A plan as the fleet takes it. `members`, `servers`: the zone of each, by name. Raises Refusal with a line for each thing that is
+    wrong."""
     file = toml.read(path, File)
+    zones = servers if file.kind == "servers" else members
     waves = file.waves if file.waves is not None else drawn_up(file, zones)
     plan = release.Plan(file.name, file.since, file.to, waves, file.hold_s, file.flows, file.patience, file.worse, file.slower,
-                        file.change_s)
+                        file.change_s, file.kind, file.empty_s)
     wrong = release.objection(plan, sorted(zones))
     wrong += [f"zones: there is no zone {zone!r}" for zone in file.zones if zone not in zones.values()]
     if wrong:
         raise Refusal("\n".join(f"{path}: {line}" for line in wrong))
-    return [plan.name, plan.since, plan.to, plan.waves, plan.hold_s, plan.flows, plan.patience, plan.worse, plan.slower, plan.change_s]
+    return list(msgspec.structs.astuple(plan))
--- a/cypresswalk/rollout/release.py
+++ b/cypresswalk/rollout/release.py
@@ -1,4 +1,4 @@
-"""A release as the fleet has agreed on it: which balancers are changed in which waves, and how far each is. No I/O, no clock: a state
+"""A release as the fleet has agreed on it: which balancers, or servers, are changed in which waves, and how far each is. No I/O, no clock: a state
 machine over entries of the agreed log, so that whoever leads next carries on where the last one stopped.
 
     old -> out (it may be changed) -> changing (its agent has begun) -> new, or failed
@@ -16,13 +16,15 @@
     name: str
     since: str              # the version that runs, as agents know it
     to: str
-    waves: list[list[str]]  # balancers by name
+    waves: list[list[str]]  # balancers, or servers, by name
     hold_s: float           # how long each wave must hold before the next begins
     flows: int              # that each changed balancer must have answered meanwhile, or nothing is known of it
     patience: float         # holds that may pass without enough flows until it halts
     worse: float            # the share of its flows that a changed balancer may fail or reject more than the others
     slower: float           # times the others' mean set-up
     change_s: float         # within which an agent must have changed a balancer
+    kind: str = "balancers" # or "servers"
+    empty_s: float = 30.0   # within which a server's flows must have left it
 
 
 class Release(msgspec.Struct, array_like=True):
@@ -35,13 +37,18 @@
     said: dict[str, str] = {}       # what agents told last
     was: dict[str, str] = {}        # of those that are out: what they were before
     boots: dict[str, int] = {}      # how often each had started when its turn came, where that is known
+    outs: dict[str, int] = {}       # of servers: the version that took each out
 
 
 def objection(plan: Plan, known: list[str]) -> list[str]:
     """A line for each thing that is wrong."""
     wrong = []
     names = [name for wave in plan.waves for name in wave]
-    wrong += [f"waves: {name} is no member; there are {', '.join(known)}" for name in sorted(set(names) - set(known))]
+    there = ", ".join(known[:20]) + (", ..." if len(known) > 20 else "")
+    what = "listed" if plan.kind == "servers" else "a member"
+    wrong += [f"waves: {name} is not {what}; there are {there}" for name in sorted(set(names) - set(known))]
+    if plan.kind not in ("balancers", "servers"):
+        wrong.append(f"kind: {plan.kind}, not balancers or servers")
     wrong += [f"waves: {name} stands there twice" for name in sorted({name for name in names if names.count(name) > 1})]
     wrong += [f"waves[{i}]: empty" for i, wave in enumerate(plan.waves) if not wave]
     if not names:
@@ -49,7 +56,7 @@
     if not plan.to or not plan.since or plan.to == plan.since:
         wrong.append("since, to: two versions that differ")
     for field, low, high in (("hold_s", 0.1, 1e6), ("flows", 0, 1e9), ("patience", 1, 1e4), ("worse", 0.0, 1.0), ("slower", 1.0, 1e3),
-                             ("change_s", 1, 1e5)):
+                             ("change_s", 1, 1e5), ("empty_s", 1, 1e5)):
         if not low <= getattr(plan, field) <= high:
             wrong.append(f"{field}: {getattr(plan, field)}, not from {low:g} to {high:g}")
     return wrong
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -10,6 +10,7 @@
 from cypresswalk.copies.claims import Answer
 from cypresswalk.fleet.binding import Binding, objection, shared
 from cypresswalk.fleet.member import View
+from cypresswalk.fleet.words import OfServers
 from cypresswalk.lab.balancers import free_port
 from cypresswalk.model import ListForm, Outcome, State
 from cypresswalk.net.calls import Call
@@ -289,3 +290,30 @@
         later = [bound.open(f"q{i}").flow for i in range(10)]
         admitted[copies is None] = [sum(server in flow.admitted for flow in flows) for flows in (first, later)]
     assert admitted[False][0] == 0 < admitted[True][0] and admitted[False][1] > 0
+
+
+def test_what_it_says_of_servers_is_what_its_own_probes_and_connects_show(tmp_path):
+    bound = Bound(tmp_path, listed("s-1"), listed("s-2"), listed("s-3", lifecycle="terminating"))
+    server = bound.core.balancer.servers[server_number("s-1")]
+    say = bound.binding.of_servers
+    assert say() == OfServers([], {}, {})
+    for _ in range(3):
+        bound.core.probed(bound.now, server, False, [])
+    assert say().bad == ["s-1"]
+    bound.view(1, out=("s-1",), watch=True)
+    assert say().bad == ["s-1"]                 # out by hand or not
+    bound.view(2, watch=True)
+    bound.core.probed(bound.now, server, True, [])
+    assert say().bad == []
+    sessions = [bound.open(f"a{i}") for i in range(12)]
+    at = {session: leg.server for leg, _ in bound.drivers.connects for session in [leg.session]}
+    for i, session in enumerate(sessions):
+        if session in at:
+            bound.core.up(bound.now + 2_000_000, session.leg) if i % 4 else bound.core.ended(bound.now, session.leg, Outcome.TIMEOUT)
+    told = say().served
+    assert set(told) <= {"s-1", "s-2"} and sum(up for up, *_ in told.values()) == sum(s.standing for s in sessions) > 4
+    failed = sum(session in at for session in sessions[::4])
+    assert sum(fell for _, _, fell, _ in told.values()) == failed > 1 and all(took == up * 2_000_000 for up, _, _, took in told.values())
+    standing = sum(s.standing and at[s] is server for s in sessions)
+    bound.view(3, out=("s-1",))
+    assert say() == OfServers(say().bad, {"s-1": standing} if standing else {}, {})
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -66,10 +66,11 @@
         most = {"balancers": {"all": chance.choice((1, 2, {"share": 0.5})), "zone": 1}, "servers": {"all": {"share": 0.5, "least": 1}}}
         machine.state.settings = {"bounds": most}
         away: set[str] = set()
+        coming: set[str] = set()        # servers that are back, and not seen ready yet
         for number in range(200):
             head = (f"c{number}", "test", 0)
             who, server = chance.choice(sorted(names)), chance.choice(sorted(servers))
-            kind = chance.choice(("leave", "leave", "return", "out", "out", "back", "list", "force"))
+            kind = chance.choice(("leave", "leave", "return", "out", "out", "back", "seen", "list", "force"))
             if kind in ("leave", "force"):
                 seen = {name: "not heard" for name in names if chance.random() < 0.1}
                 command = state.Leave(*head, who, "drained", kind == "force", names, seen)
@@ -87,13 +88,22 @@
                 away.discard(who)
             elif kind == "out":
                 before, listed = set(machine.state.out), {n: s for n, _, _, s, _, _ in machine.state.servers}
-                seen = {n for n, s in listed.items() if s != "ready"}
-                gone = (before | seen) - {server}
-                _, (ok, _) = machine.apply(encode(state.Out(*head, server)))
+                bad = {name: "held for bad" for name in servers if chance.random() < 0.1}
+                seen = {n for n, s in listed.items() if s != "ready"} | set(bad)
+                gone = (before | seen | coming) - {server}
+                _, (ok, _) = machine.apply(encode(state.Out(*head, server, False, bad)))
+                coming -= {server} if ok else set()
                 fits = server in before or len(gone & set(listed)) + 1 <= allowed(most["servers"]["all"], len(listed))
                 assert ok is fits, (seed, number)
             elif kind == "back":
+                coming |= {server} & set(machine.state.out)
                 machine.apply(encode(state.Back(*head, server)))
+            elif kind == "seen":
+                version = machine.state.coming.get(server, 7)
+                machine.apply(encode(state.Seen(f"s{number}", *head[1:], {server: version - 1})))     # of an earlier return: no matter
+                assert set(machine.state.coming) == coming
+                machine.apply(encode(state.Seen(*head, {server: version})))
+                coming.discard(server)
             else:
                 listing = [(name, zone, 1, "draining" if chance.random() < 0.2 else "ready", 1.0, 0) for name, zone in servers.items()]
                 machine.apply(encode(state.Listing(*head, number, 0, listing)))
@@ -136,7 +146,12 @@
         # Servers: one may be out.
         assert await asked(admin["n1"], "set-down s-0") == "OK"
         assert "1 of 4 are out and 1 may be: s-0" in await asked(admin["n2"], "set-down s-1")
-        assert await asked(admin["n2"], "set-up s-0") == "OK" and await asked(admin["n2"], "set-down s-1") == "OK"
+        assert await asked(admin["n2"], "set-up s-0") == "OK"
+        # Back, and not seen ready yet: it has its place until most balancers have.
+        assert "s-0 (not seen ready again)" in await asked(admin["n2"], "set-down s-1")
+        until = time.monotonic() + 15
+        while (said := await asked(admin["n2"], "set-down s-1")) != "OK":
+            assert "s-0 (not seen ready again)" in said and time.monotonic() < until, said
         # A halt outranks what the bounds would allow, and leaves the way back open.
         assert await asked(admin["n2"], "set-up s-1") == "OK"
         await rig.do(Step(at_s=0, do="heal"))
@@ -424,10 +439,15 @@
     file = tmp_path / "r.toml"
     file.write_text('name = "x"\nsince = "v1"\nto = "v1"\nwaves = [["n0", "n9"], [], ["n0"]]\nhold_s = -1\nworse = 2\n')
     with pytest.raises(Refusal) as refusal:
-        plans.read(str(file), ZONES)
+        plans.read(str(file), ZONES, {})
     assert len(str(refusal.value).splitlines()) == 6, refusal.value
     file.write_text('name = "x"\nsince = "v1"\nto = "v2"\nzones = ["z2"]\ncanary = 1\n')
-    assert plans.read(str(file), ZONES)[3] == [["n2"], ["n5"], ["n0", "n3"], ["n1", "n4"]]
+    assert plans.read(str(file), ZONES, {})[3] == [["n2"], ["n5"], ["n0", "n3"], ["n1", "n4"]]
+    file.write_text('name = "x"\nsince = "v1"\nto = "v2"\nkind = "servers"\nempty_s = 9\nwaves = [["s1"], ["n0"]]\n')
+    with pytest.raises(Refusal) as refusal:
+        plans.read(str(file), ZONES, {"s1": "0"})
+    assert "n0 is not listed; there are s1" in str(refusal.value)
+    assert plans.read(str(file), ZONES, {"s1": "0", "n0": "1"})[-2:] == ["servers", 9.0]
 
 
 def test_a_failed_one_that_did_not_use_its_second_turn_is_failed_still():
--- /dev/null
+++ b/tests/test_servings.py
@@ -0,0 +1,173 @@
+"""Releases of servers: the fleet's own code and the agents' own in virtual time, with faults and calls by a seed."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from cypresswalk.fleet import agreed as state
+from cypresswalk.fleet.member import Member
+from cypresswalk.fleet.wards import Wards
+from cypresswalk.fleet.words import OfServers
+from cypresswalk.lab.together.plan import Plan, Step
+from cypresswalk.lab.together.releases import SECOND
+from cypresswalk.lab.together.serving import ServerMachines
+from cypresswalk.lab.together.servings import Servings, plan_for, run_seed
+from cypresswalk.rollout.serving import ServerDuty
+
+
+@pytest.mark.parametrize("first", range(0, 24, 8))
+def test_faults_by_seed_keep_bounds_and_halts_and_always_leave_a_way_to_the_end(first):
+    for seed in range(first, first + 8):
+        outcome = run_seed(seed)
+        assert not outcome.broken, outcome.broken + "\n" + "\n".join(outcome.history[-60:])
+
+
+def everybody_knows_at_once(patch):
+    """Servers are stopped though a balancer acts on the version before."""
+    patch.setattr(Member, "settled", lambda self, version, now: True)
+
+
+def flows_are_not_waited_for(patch):
+    patch.setattr(ServerDuty, "emptied", lambda self: iter(()))
+    patch.setattr(ServerDuty, "busy", lambda self, turn: "")
+
+
+def the_bad_are_not_counted(patch):
+    patch.setattr(Wards, "bad", lambda self, now, members: {})
+
+
+def what_comes_back_is_ready(patch):
+    """It counts as in from the entry that puts it back, seen or not."""
+    bound = state.Agreed.server_bound
+
+    def careless(self, server, seen, heals=False):
+        coming, self.state.coming = self.state.coming, {}
+        try:
+            return bound(self, server, {name: why for name, why in seen.items() if name not in coming}, heals)
+        finally:
+            self.state.coming = coming
+    patch.setattr(state.Agreed, "server_bound", careless)
+
+
+def a_halt_is_not_asked_for(patch):
+    def unwanted(self):
+        return ""
+        yield
+    patch.setattr(ServerDuty, "unwanted", unwanted)
+
+
+def a_turn_ends_though_its_agent_works(patch):
+    returned = state.releases.returned
+
+    def careless(now, name):
+        returned(now, name)
+        if now.members.get(name) == "changing":
+            now.members[name] = "old"
+    patch.setattr(state.releases, "returned", careless)
+
+
+@pytest.mark.parametrize("mistake, seed", [(everybody_knows_at_once, 18), (flows_are_not_waited_for, 0), (the_bad_are_not_counted, 1),
+                                           (what_comes_back_is_ready, 1), (a_halt_is_not_asked_for, 22), (a_turn_ends_though_its_agent_works, 13)])
+def test_a_planted_mistake_is_found(mistake, seed, monkeypatch):
+    mistake(monkeypatch)
+    assert run_seed(seed).broken
+
+
+@pytest.mark.parametrize("build, why", [("aborts", "failed or rejected"), ("falls", "came up and fell over"), ("never_ready", "v1 again: answers")])
+def test_a_bad_build_of_a_server_is_halted_in_the_first_wave(build, why):
+    w = Servings(1, 6, 2, build, voters=3, followers=1)
+    w.stuck = 0.0
+    w.start()
+    w.run(8 * SECOND)
+    w.tell("release_begin", {"plan": plan_for(sorted(w.servers), Random(1))}, span=20 * SECOND)
+    for _ in range(90):
+        w.run(SECOND)
+        if w.release() is not None and w.release().halted:
+            break
+    agreed = w.release()
+    assert agreed.halted and why in agreed.halted[2], agreed.halted
+    assert agreed.release.wave == 0 and sum(s.version() == "v1" for s in w.servers.values()) >= 5
+
+
+def test_what_most_balancers_say_of_a_server_counts_and_silence_grants_nothing():
+    wards, members = Wards(5 * SECOND), {"n0#1", "n1#1", "n2#1", "n3#1"}
+    wards.asked(0, "n0#1", 4, OfServers(["s0", "s1"]))
+    wards.asked(0, "n1#1", 4, OfServers(["s0"]))
+    assert not wards.can_tell(0, members) and wards.standing(0, members, "s0") is None
+    wards.asked(SECOND, "n2#1", 4, OfServers([], {"s0": 3}))
+    assert wards.can_tell(SECOND, members) and wards.standing(SECOND, members, "s0") is None     # n3 may have flows there (seed 357)
+    wards.asked(SECOND, "n3#1", 3, OfServers([]))
+    assert wards.can_tell(SECOND, members) and list(wards.bad(SECOND, members)) == ["s0"]       # two of four; s1 by one alone
+    assert wards.standing(SECOND, members, "s0") == 3
+    # Back in version 4: n3 does not act on it yet, so two of four have seen s1 ready.
+    assert wards.ready_again(SECOND, members, {"s1": 4}, ["s0", "s1"]) == {}
+    wards.asked(SECOND, "n3#1", 4, OfServers([]))
+    assert wards.ready_again(SECOND, members, {"s1": 4, "s9": 2}, ["s0", "s1"]) == {"s1": 4, "s9": 2}       # s9 is listed no more
+    assert not wards.can_tell(6 * SECOND + 1, members)
+    # What each answered is added up over balancers, a process that began anew counted from nothing.
+    wards.asked(7 * SECOND, "n0#1", 4, OfServers(served={"s0": (10, 0, 1, 50)}))
+    wards.asked(8 * SECOND, "n0#1", 4, OfServers(served={"s0": (14, 0, 1, 70)}))
+    wards.asked(9 * SECOND, "n0#1", 4, OfServers(served={"s0": (3, 0, 0, 9)}))
+    assert (wards.served["s0"].up, wards.served["s0"].failed) == (17, 1)
+
+
+def test_one_out_by_hand_and_by_a_release_is_in_once_both_have_ended():
+    machine, number = state.Agreed(), iter(range(100))
+    machine.state.servers = [(name, 0, 1, "ready", 1.0, 0) for name in ("s0", "s1")]
+    machine.state.settings = {"bounds": {"servers": {"all": 1}}}
+
+    def say(kind, *words):
+        return machine.apply(state.encode(kind(f"c{next(number)}", "test", 0, *words)))[1]
+    plan = ["r", "v1", "v2", [["s0"], ["s1"]], 1.0, 1, 1.0, 0.1, 2.0, 9.0, "servers", 5.0]
+    assert "s7 is not listed" in say(state.Begin, state.releases.Plan("r", "v1", "v2", [["s7"]], 1.0, 1, 1.0, 0.1, 2.0, 9.0, "servers"), [])[1]
+    assert say(state.Begin, state.releases.Plan(*plan), [])[0] and say(state.Go, "s0", {}, {}, 0)[0]
+    assert machine.all_out() == {"s0"} and machine.state.release.outs["s0"] == machine.state.version
+    assert say(state.Out, "s0", False, {})[0] and "1 are out" in say(state.Out, "s1", False, {})[1].replace("1 of 2", "1")
+    assert say(state.Back, "s0")[1].endswith("release r has it out still") and machine.all_out() == {"s0"}
+    assert say(state.Back, "s0") == (True, "release r has it out")
+    assert say(state.Began, "s0", "v2", {}, {})[0] and say(state.Came, "s0", "v2", "")[0]
+    assert not machine.all_out() and list(machine.state.coming) == ["s0"]
+    assert not say(state.Out, "s1", False, {})[0]       # s0 is not seen ready yet
+    assert say(state.Seen, machine.state.coming)[0] and say(state.Out, "s1", False, {})[0]
+    assert say(state.Back, "s1")[0] and say(state.Seen, machine.state.coming)[0]
+    assert not say(state.Out, "s1", False, {"s0": "held for bad"})[0] and say(state.Out, "s1", True, {"s0": "held for bad"})[0]
+
+
+def test_servers_are_changed_by_agents_and_a_bad_build_is_halted_and_taken_back_with_real_processes(tmp_path):
+    async def run():
+        plan = Plan(balancers=3, servers=3, flows_per_s=80, server_agents=True, server_bound=1)
+        rig = ServerMachines(plan, tmp_path / "rig")
+
+        async def until(met, span: float = 60) -> dict:
+            end, body = asyncio.get_running_loop().time() + span, {}
+            while asyncio.get_running_loop().time() < end:
+                result, body = await rig.ask(await rig.leader(), "release", span=2.0)
+                if result == "yes" and body["release"] and met(body):
+                    return body
+                await asyncio.sleep(0.1)
+            raise AssertionError(body)
+        try:
+            await rig.begin()
+            await rig.agree_on_bound(await rig.whole())
+            rig.spawn(rig.load(plan.flows_per_s))
+            # Its agent dies in the middle, and begun anew goes on or has it back; a person resumes where that halted it.
+            assert await rig.release(Step(at_s=0, do="release", hold_s=1, flows=5)) == "yes"
+            await until(lambda body: body["release"][5]["s-0"] == "changing")
+            rig.kill_agent("s-0")
+            rig.start_agent("s-0")
+            body = await until(lambda body: body["halted"] or body["release"][3] == "done")
+            if body["halted"]:
+                await rig.resume("n1")
+                await until(lambda body: body["release"][3] == "done")
+            assert [rig.doing(name)["version"] for name in rig.servers.names] == ["v1"] * 3
+            rig.runs = "v1"
+            assert await rig.release(Step(at_s=0, do="release", build="aborts", hold_s=30, flows=5)) == "yes"
+            body = await until(lambda body: body["halted"])
+            assert "s-0 failed or rejected" in body["halted"][2], body["halted"]
+            report = await rig.verdict()        # a person takes it back
+            assert not report["broken"] and report["ended"] == "backed" and report["most_out"] == 1, report
+            assert [rig.doing(name)["version"] for name in rig.servers.names] == ["v1"] * 3 and report["answers"]["UP"] > 500
+        finally:
+            await rig.end()
+    asyncio.run(run())
