Agents ask for their turn every two seconds while no release names them

Need: words between 200 idle balancers had grown from 2,372 to 6,220 a second; not looked into until now. Cause: each agent asked for its turn twice a second, and each such call is a read that costs who leads a round of the voters: (6,220 - 2,372) / 400 calls = 9.6 words. Ruled out: leases and beats, which are as before (579 words at 50 without agents). Change: rollout/duty.py asks every 2 s where its last answer named no release of its own, as before while one does.

--- a/cypresswalk/rollout/duty.py
+++ b/cypresswalk/rollout/duty.py
@@ -17,6 +17,7 @@
 
 log = logging.getLogger(__name__)
 LOOK = 0.5              # seconds between two looks at the release
+IDLE = 2.0              # while none names it: each look costs who leads a round of the voters
 CHECK = 0.05            # between two looks at a process
 READY = 20.0            # within which a new process must be OK, and the fleet be asked
 STEADY = 1.0            # for so long
@@ -109,6 +110,7 @@
     def __init__(self, member: str, first: str, admins: tuple[str, str], doing: Doing):
         self.member, self.first, self.admins, self.doing = member, first, admins, doing
         self.started_at: float | None = None
+        self.ask_at = 0.0
 
     def run(self) -> Work:
         while True:
@@ -149,12 +151,20 @@
                 log.error("event=not_started version=%s why=%s", doing.version, why)
         yield Save()
 
+    def turn(self) -> Work:
+        """Its turn, if it has come."""
+        now = yield Now()
+        if now < self.ask_at:
+            return None
+        ok, turn = yield Ask("turn", {"member": self.member})
+        self.ask_at = now + (IDLE if ok and not turn["status"] else 0.0)
+        return turn if ok and turn["status"] in ("changing", "out") else None
+
     # Also where what runs falls over at every start: then the way back is what it needs.
 
     def look_for_work(self) -> Work:
-        doing = self.doing
-        ok, turn = yield Ask("turn", {"member": self.member})
-        if not ok or turn["status"] not in ("changing", "out"):
+        doing, turn = self.doing, (yield from self.turn())
+        if turn is None:
             return
         doing.change = yield Draw()
         if turn["status"] == "changing":
--- a/cypresswalk/rollout/serving.py
+++ b/cypresswalk/rollout/serving.py
@@ -34,9 +34,8 @@
             yield Wait(LOOK)
 
     def look_for_work(self) -> Work:
-        doing = self.doing
-        ok, turn = yield Ask("turn", {"member": self.member})
-        if not ok or turn["status"] not in ("changing", "out"):
+        doing, turn = self.doing, (yield from self.turn())
+        if turn is None:
             return
         if turn["status"] == "changing":
             # Agreed, and lost between its yes and this agent's disk: it has done nothing of it.
