--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -625,6 +625,10 @@
                         and now >= server.full_until and len(server.out) <= min(server.answers, IN_FLIGHT - 1)
                         and server.misses < MISSES and not self.strained(now, server)):
                     part = self.warmed(now, server) * self.borne.read(now) * server.weight
+                    # What it was found to bear, where flows from here stand there: that grows as it warms. Guards
+                    # against clients rejected for ten seconds beside it once no warm server is left to tell.
+                    if server.flows and server.limit < math.inf:
+                        part = max(part, self.limit(now, server))
                     load = self.load(server, flow)
                     # Half of it in a window: a set-up asks work of its own.
                     if load <= min(part, self.limit(now, server)) and server.filled.read(now) + 1 <= part / 2:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -618,3 +618,34 @@
         assert room is None
     else:
         assert held[0] <= 3 and 6 <= held[5] <= held[-1] <= 16     # a fifth of some 20 at first
+
+
+def test_a_cold_server_is_filled_to_the_limit_found_there_where_own_flows_stand_and_no_warm_server_tells():
+    # Seen on operators' days: with no warm server left cold ones held one flow of each balancer for fifteen seconds, of
+    # limits of five to fourteen, while a hundred clients a second were rejected.
+    ledger = Ledger(servers=3)
+    balancer = ledger.balancer
+    cold, *rest = balancer.servers.values()
+    cold.since, cold.health, cold.known, cold.fresh, cold.answers = ledger.now - 10 * SECOND, 4, True, False, 5
+    for server in rest:
+        balancer.taken_out(ledger.now, server)
+
+    def room():
+        return balancer.room(ledger.now, Flow(9999, balancer.settings.service_types[0], 5, ledger.now + SECOND))
+    balancer.keep_at(ledger.now, cold, 6.0)
+    cold.dealt.add(ledger.now, 99)
+    assert balancer.borne.read(ledger.now) < 1 and room() is None       # nothing of its own stands there: nobody's evidence
+    cold.dealt.total = 0.0
+    ledger.accept(ledger.arrive())
+    cold.dealt.add(ledger.now, 99)
+    held = []
+    for _ in range(40):
+        flow = ledger.arrive()
+        if flow.server is cold:
+            ledger.accept(flow)
+        held.append(len(cold.flows))
+        ledger.pass_time(SECOND // 2)
+        cold.dealt.add(ledger.now, 99)
+    assert 2 < held[3] <= 5 and len(cold.flows) <= balancer.limit(ledger.now, cold)
+    balancer.judge_strain(ledger.now, cold, 0.9)
+    assert room() is None
