--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -74,6 +74,30 @@
         self.total = self.read(now) + amount
 
 
+class Counted:
+    """How many there were in the last `span`, by slots: no fewer (`most`), no more (`least`)."""
+
+    def __init__(self, span: int, now: int):
+        self.slot = -(-span // SLOTS)
+        self.at, self.counts = now // self.slot, deque([0] * (SLOTS + 1), SLOTS + 1)
+
+    def turn(self, now: int) -> deque:
+        late = min(now // self.slot - self.at, SLOTS + 1)
+        self.counts.extend([0] * late)
+        self.at += max(now // self.slot - self.at, 0)
+        return self.counts
+
+    def add(self, now: int, number: int = 1) -> None:
+        self.turn(now)[-1] += number
+
+    def most(self, now: int) -> int:
+        return sum(self.turn(now))
+
+    def least(self, now: int) -> int:
+        # The oldest slot may begin before the window, the next by less than a nanosecond a slot.
+        return sum(islice(self.turn(now), 2, None))
+
+
 class Balancer:
     def __init__(self, settings: Settings, seed: int, now: int):
         self.settings = settings
@@ -104,6 +128,7 @@
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.borne, self.next_borne = Decaying(30 * SECOND, now), now
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
+        self.taken = self.further = None        # counts of flows, and of connects beyond their first
         self.resettled(now, settings)
         # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
@@ -114,6 +139,14 @@
 
     def resettled(self, now: int, settings: Settings) -> None:
         """Other settings from now on; flows that are held go by those that they came under."""
+        window = settings.further_window
+        if not window:
+            self.taken = self.further = None
+        elif self.taken is None or window != self.settings.further_window:
+            self.taken, self.further = Counted(window, now), Counted(window, now)
+            self.settings = settings
+            if now > self.started:      # what went before is not known by this window
+                self.spent_elsewhere(now)
         self.settings = settings
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
@@ -177,12 +210,21 @@
             self.next_look = now
 
     def succeeds(self, now: int) -> None:
-        """A balancer was lost in whose place this one comes: what it spent of cold servers' budgets is not known, so
-        all of it counts as spent for its window."""
+        """A balancer was lost in whose place this one comes: what it spent of cold servers' budgets is not
+        known, so all of it counts as spent for its window."""
         self.dealt_until = now + self.settings.fall_window
+        self.spent_elsewhere(now)
+
+    def spent_elsewhere(self, now: int) -> None:
+        """How many further connects another process made, in whose place this one comes, is not known."""
+        if self.further is not None:
+            self.further.add(now, math.ceil(self.settings.further_free))
 
     def yield_budgets(self, now: int) -> None:
-        """Another process of this balancer takes what is left of each cold server's budget."""
+        """Another process of this balancer takes what is left of each cold server's budget, and of that of
+        further connects."""
+        if self.further is not None:
+            self.further.add(now, int(YIELDED))
         for server in self.servers.values():
             server.dealt.add(now, YIELDED)
             server.owed = False
@@ -196,6 +238,8 @@
         self.hold(now, flow)
         if not flow.again:
             self.arrivals.add(now, 1)
+        if self.taken is not None:
+            self.taken.add(now)
         self.waiting.append(flow)
 
     def resumed(self, now: int, flow: Flow, server: Server) -> None:
@@ -511,6 +555,10 @@
                 flow.held_until = min(now + flow.type.setup_target // 2, flow.until)
             busy = any(len(s.out) >= IN_FLIGHT for s in self.servers.values())
             return None if busy and now < flow.held_until else self.give_up(now, flow)
+        if flow.tried and self.further is not None:
+            if not self.affords(now):
+                return self.give_up(now, flow)
+            self.further.add(now)
         flow.tried.append(server)
         flow.sent = now
         self.take(flow, server, server.out)
@@ -539,6 +587,11 @@
         wait = min(flow.type.setup_target, self.settings.max_retry_after) if self.settings.retry_after else 0
         return Reject(flow, wait)
 
+    def affords(self, now: int) -> bool:
+        """Whether a further connect stays within what the settings allow in any window."""
+        s = self.settings
+        return self.further.most(now) + 1 <= s.further_free + s.further_part * self.taken.least(now)
+
     def may_go_again(self, now: int, flow: Flow) -> bool:
         if flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE:
             return True
@@ -625,8 +678,8 @@
                         and now >= server.full_until and len(server.out) <= min(server.answers, IN_FLIGHT - 1)
                         and server.misses < MISSES and not self.strained(now, server)):
                     part = self.warmed(now, server) * self.borne.read(now) * server.weight
-                    # What it was found to bear, where flows from here stand there: that grows as it warms. Guards
-                    # against clients rejected for ten seconds beside it once no warm server is left to tell.
+                    # What it was found to bear, where flows from here stand there: that grows as it warms.
+                    # Guards against clients rejected for ten seconds beside it once no warm server can tell.
                     if server.flows and server.limit < math.inf:
                         part = max(part, self.limit(now, server))
                     load = self.load(server, flow)
@@ -807,6 +860,7 @@
         return crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
 
 
+SLOTS = 32                    # of a window: three in a hundred of it are counted against the balancer
 PROBE_POINTS = 0.01           # what probes may cost of a flow's worth: little beside what a bad server costs
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
 HOMING = 3                    # a move costs its client a gap besides its price
--- a/cypresswalk/hosting.py
+++ b/cypresswalk/hosting.py
@@ -21,6 +21,14 @@
     return round(milliseconds * 1e6)
 
 
+def figure(rules: dict, name: str) -> float:
+    """Absent: 0. Raises ValueError for what is no such figure."""
+    value = rules.get(name, 0.0)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+        raise ValueError(f"rules.{name}: {value!r}, not a number from 0 on")
+    return value
+
+
 def decode_settings(params: dict) -> Settings:
     try:
         limits, rules, extra = params["limits"], params["rules"], params.get("extra", {})
@@ -47,7 +55,9 @@
             shares=[math.inf if share is None else share
                     for share in extra.get("tenantQuotaConnections") or []],
             overage_payoff=params.get("overagePayoff", 1.0),
-            load_index=fields.index("x0") if "x0" in fields else -1)
+            load_index=fields.index("x0") if "x0" in fields else -1,
+            further_window=nanoseconds(figure(rules, "lookBack"), "lookBack"), further_free=figure(rules, "budgetFree"),
+            further_part=figure(rules, "extraRatio"))
     except KeyError as error:
         raise SettingsError(f"settings: {error} is missing or unknown") from None
     except (TypeError, ValueError, AttributeError) as error:
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -82,6 +82,10 @@
     shares: list[float]     # for each customer the standing flows within its share, all balancers together
     overage_payoff: float   # what a flow beyond the share is worth, as a part
     load_index: int         # place of the load over capacity in a server's report, -1 where none
+    # Connects beyond a flow's first, in any window: so many, and that part of the flows taken in it. No window, no such rule.
+    further_window: int = 0
+    further_free: float = 0.0
+    further_part: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
--- a/cypresswalk/net/handover.py
+++ b/cypresswalk/net/handover.py
@@ -144,6 +144,7 @@
                 setattr(here, name, value + later if name in TIMES and value else value)
     for name, (total, at) in sums.items():
         getattr(balancer, name).total, getattr(balancer, name).at = total, min(at + later, now)
+    balancer.spent_elsewhere(now)
     balancer.started = min(told.state["started"] + later, now)
     balancer.stale = True
     for ident in ids[-core.limits.ids:]:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cypresswalk.benchlink.wire import settings
+from cypresswalk.benchlink.wire import WireError, settings
 
 ROOT = Path(__file__).parent.parent
 PARAMS = {"me": 0, "instances": 1, "zone": 0, "family": "conn", "discovery": "pushed", "unheard": [1],
@@ -66,3 +66,14 @@
     late = b"\x04" + struct.pack("<QIBdBHB", 5, 77, 1, 3.0, 0, 100, 0)
     done = run(batch(ABOUT, init(json.dumps(PARAMS).encode()), LIST) + batch(ABOUT, late, b"\x05" + struct.pack("<Q", 5)))
     assert done.returncode == 0
+
+
+@pytest.mark.parametrize("name, odd", [("budgetFree", -1), ("extraRatio", "much"), ("lookBack", float("inf")), ("extraRatio", True)])
+def test_an_odd_figure_of_the_budget_is_named_and_an_absent_one_means_no_such_rule(name, odd):
+    assert settings(json.dumps(PARAMS).encode()).further_window == 0
+    rules = PARAMS["rules"] | {"budgetFree": 5, "extraRatio": 0.05, "lookBack": 2000.0}
+    found = settings(json.dumps(PARAMS | {"rules": rules}).encode())
+    assert (found.further_window, found.further_free, found.further_part) == (2_000_000_000, 5, 0.05)
+    with pytest.raises(WireError) as error:
+        settings(json.dumps(PARAMS | {"rules": rules | {name: odd}}).encode())
+    assert name in str(error.value)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,10 +1,12 @@
 """Plain cases: what the design says, and each failure found."""
 
+from random import Random
+
 import pytest
 
 from cypresswalk.choice import FALL, GROUP_WORK, IN_FLIGHT, RISE, TABLE_SIZE, maglev, mix
 from cypresswalk.model import SECOND, Effect, Flow, ListForm, Outcome, Server, State
-from helpers import START, Ledger, entries, service
+from helpers import START, Ledger, entries, service, settings
 
 
 def settle(ledger, rounds=4):
@@ -649,3 +651,53 @@
     assert 2 < held[3] <= 5 and len(cold.flows) <= balancer.limit(ledger.now, cold)
     balancer.judge_strain(ledger.now, cold, 0.9)
     assert room() is None
+
+
+@pytest.mark.parametrize("free, part", [(5, 0.05), (0, 0.0), (0, 0.2), (3, 0.0)])
+def test_further_connects_stay_within_their_budget_in_every_window_whatever_the_traffic(free, part):
+    # Against a plain count over a record of all; the module's own memory does not grow. Idle spells, bursts, a start.
+    window, used = 2 * SECOND, 0
+    for seed in range(6):
+        chance = Random(f"{seed}/further")
+        ledger = Ledger(servers=5, further_window=window, further_free=free, further_part=part, max_connects=4)
+        taken, further = [], []
+        for _ in range(120):
+            for _ in range(chance.choice((0, 0, 1, 1, 2, 30))):
+                taken.append(ledger.now)
+                ledger.arrive()
+            for flow in list(ledger.open.values()):
+                if flow.server is not None and chance.random() < 0.8:
+                    if chance.random() < 0.4:
+                        ledger.accept(flow)
+                    else:
+                        ledger.end(flow, chance.choice((Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.RESET)))
+            further = sorted(sent for tries in ledger.history.values() for _, sent, _ in tries[1:])
+            for at in further[-40:]:
+                lately = sum(at - window < one <= at for one in further)
+                assert lately <= free + part * sum(at - window < one <= at for one in taken), (seed, at)
+            ledger.pass_time(chance.choice((SECOND // 1000, SECOND // 50, SECOND // 7, 5 * SECOND)))
+        assert len(ledger.balancer.further.counts) == len(ledger.balancer.taken.counts) == 33
+        used += len(further)
+    assert used > 20 if free or part else not used
+
+
+def test_what_the_budget_denies_is_answered_at_once_and_a_process_in_anothers_place_has_spent_it():
+    ledger = Ledger(servers=4, further_window=2 * SECOND, further_free=1)
+    flows = [ledger.arrive() for _ in range(3)]
+    for flow in flows:
+        ledger.end(flow, Outcome.CONNECT_FAILED)
+    assert sorted(ledger.answers.get(flow.id, "out") for flow in flows) == ["out", "reject", "reject"]
+    ledger.pass_time(3 * SECOND)
+    ledger.balancer.spent_elsewhere(ledger.now)
+    flow = ledger.arrive()
+    ledger.end(flow, Outcome.CONNECT_FAILED)
+    assert ledger.answers[flow.id] == "reject"
+    ledger.pass_time(3 * SECOND)
+    ledger.balancer.resettled(ledger.now, settings(further_window=SECOND, further_free=1))      # another window: nothing is known by it
+    flow = ledger.arrive()
+    ledger.end(flow, Outcome.CONNECT_FAILED)
+    assert ledger.answers[flow.id] == "reject"
+    ledger.balancer.resettled(ledger.now, settings())
+    flow = ledger.arrive()
+    ledger.end(flow, Outcome.CONNECT_FAILED)
+    assert flow.id not in ledger.answers
