A way to another zone on which sound servers do not answer is passed over but for a trial

Each of 16 balancers lost two connects at each of thirty servers. Ruled out: the servers that fail by turns (near ones time out some ten times in the same span). Change: Balancer.ways counts sound servers of a zone that leave a connect unanswered since one there answered; from three on the zone's are passed over as bad ones are, one flow tries it every two seconds. Covers a lost zone too; harms where three of a zone's servers fall at once and its others are sound: until one flow is answered there. The test fails without it.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -118,6 +118,9 @@
         self.entered = 0
         self.doubted: dict[Server, None] = {}      # something was heard of them: flows there may have to move
         self.next_home, self.homing = now, False
+        # Of other zones: sound servers that left a connect unanswered since one there answered, and when one
+        # flow may try that way again.
+        self.ways: dict[int, tuple[int, int]] = {}
         self.next_wake = 0
         self.next_look = now          # when a server next wants a probe or gives up a flow
         self.next_ask = now if settings.list_asked else None
@@ -257,6 +260,7 @@
         self.freed = True
         server.answers += 1
         server.misses = server.errors = 0
+        self.ways.pop(server.zone, None)
         server.owed = False
         if flow.last is Outcome.ERROR:
             # Told by a flow that another server took: guards against odd flows speaking against all servers.
@@ -319,6 +323,9 @@
             server.full_until = now + SECOND      # a second: a queue of new connections empties in less
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.misses += 1
+            if server.misses == 1 and server.zone != self.settings.zone:
+                lost = self.ways.get(server.zone, (0, 0))[0] + 1
+                self.ways[server.zone] = lost, now + self.jittered(TRIAL, JITTER)
             server.trial_at = now + self.jittered(TRIAL, JITTER)
             if server.next_probe > self.probe_clock(now):
                 self.probe_at(server, self.probe_clock(now))
@@ -559,6 +566,8 @@
             if not self.affords(now):
                 return self.give_up(now, flow)
             self.further.add(now)
+        if self.way_lost(server):
+            self.ways[server.zone] = self.ways[server.zone][0], now + self.jittered(TRIAL, JITTER)
         flow.tried.append(server)
         flow.sent = now
         self.take(flow, server, server.out)
@@ -768,11 +777,18 @@
 
     def sound(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Guards against a server that passes probes and serves none, and slow ones' full share. Of its keys
-        a strained server gives up part after part, the same at all balancers: copies of groups cost."""
+        a strained server gives up part after part, the same at all balancers: copies of groups cost. Where
+        one sound server of another zone after another does not answer the way is bad, not they: guards against
+        a few connects lost at each of its servers, at each balancer."""
+        if self.way_lost(server) and now < self.ways[server.zone][1]:
+            return False
         if max(server.misses, server.errors) >= MISSES and (now < server.trial_at or server.out):
             return False
         return not self.strained(now, server) or home and self.rank(server, flow) < 1 - server.strain
 
+    def way_lost(self, server: Server) -> bool:
+        return self.ways.get(server.zone, (0, 0))[0] >= LOST_WAY
+
     def strained(self, now: int, server: Server) -> bool:
         return server.strain > STRAINED and now - server.strain_at < STRAIN_HOLD
 
@@ -867,6 +883,7 @@
 HOMING_SPREAD = 8 * SECOND    # a near server must have time to say that it has enough
 PASS_OVER = 1.5               # well over the mean; nearer to it, groups are scattered for little balance
 PASS_OVER_FLOOR = 10          # a few flows with a group each: below that a count says nothing
+LOST_WAY = 3                  # FALL of the health counter: three in a row, here of servers
 MISSES = 2                    # one miss may be chance; the second puts a server that passes probes aside
 WORN, EASE = 0.5, 0.97         # halfway to the target a few leave each second: waiting shrinks no pile
 CUT = 0.85                    # one step back under what was too much, as additive-increase limits often take
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -701,3 +701,37 @@
     flow = ledger.arrive()
     ledger.end(flow, Outcome.CONNECT_FAILED)
     assert flow.id not in ledger.answers
+
+
+def test_where_one_server_of_another_zone_after_another_does_not_answer_the_way_is_left_and_tried_by_one_flow():
+    # Seen on lagos-main, day big-1: as the way between its data centres grew slow each of sixteen balancers lost two
+    # connects at each of thirty servers there (498 of 890 in five seconds); those of its own zone answered all the while.
+    ledger = Ledger(servers=12, zone_price=0.0)         # six in zone 0, this one's own, six in zone 1
+    settle(ledger)
+
+    def flows(span, step=SECOND // 20):
+        """How many connects went to the other zone, where none is answered."""
+        far = 0
+        for _ in range(span // step):
+            seen = len(ledger.connects)
+            flow = ledger.arrive()
+            while flow.id in ledger.open and flow.server is not None:
+                near = flow.server.zone == 0
+                ledger.accept(flow) if near else ledger.end(flow, Outcome.CONNECT_FAILED)
+                if near:
+                    break
+            far += sum(server.zone == 1 for _, server in ledger.connects[seen:])
+            ledger.pass_time(step)
+        return far
+    assert flows(SECOND) <= 4           # three sound servers in a row, not two connects at each of six
+    assert flows(10 * SECOND) <= 8      # a flow every two seconds or so
+    # One that answers ends it; in its own zone no such thing is judged.
+    for _ in range(80):
+        flow = ledger.arrive()
+        if flow.server is not None:
+            ledger.accept(flow)
+        ledger.pass_time(SECOND // 20)
+    assert not ledger.balancer.ways
+    for server in [s for s in ledger.balancer.servers.values() if s.zone == 0][:4]:
+        ledger.balancer.judge_connect(ledger.now, server, Outcome.CONNECT_FAILED, 0)
+    assert not ledger.balancer.ways
