A server that is full for any flow is passed by before it is weighed; orders of servers are kept

Profiled: while nobody admits anything each give-up weighs all servers (Balancer.pick and room, 188 calls of admits a flow), and each weighing walked the table's 1,021 slots anew, counted the load twice and took exponentials of no limit. Change, same decisions: walk keeps the order of a slot's servers (256 slots at most) beyond the first four, limit returns at once where there is none, admits counts the load once and leaves a full server before it hashes, release ranks ties alone.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -108,6 +108,7 @@
         self.freed = False
         self.stale, self.members = True, []      # the tables' servers
         self.tables: list[tuple[list[Server], list[Server]]] = []
+        self.walks: dict[tuple[int, int], list[Server]] = {}     # their servers from a slot on
         self.customers: Counter[int] = Counter()      # flows held, by customer
         self.seed, self.draws = seed, 0
         self.started = now
@@ -640,6 +641,7 @@
                     zone = self.settings.zone
                     groups = [[s for s in up if (s.zone == zone) is near] for near in (True, False)]
                 self.tables = [(maglev(group), group) for group in groups if group]
+                self.walks.clear()
         return self.tables
 
     def pick(self, now: int, flow: Flow) -> Server | None:
@@ -708,11 +710,20 @@
 
     def walk(self, table: list[Server], key: int) -> Iterator[Server]:
         """The servers in the order in which the table names them from the key's slot on."""
-        slot, seen = mix(key) % TABLE_SIZE, set()
-        for server in chain(table[slot:], table[:slot]):
-            if server not in seen:
-                seen.add(server)
-                yield server
+        slot = mix(key) % TABLE_SIZE
+        order, first = self.walks.get((id(table), slot)), []
+        if order is None:
+            for server in chain(table[slot:], table[:slot]):
+                if server not in first:
+                    first.append(server)
+                    yield server
+                    if len(first) > CHOICES:
+                        break
+            # All are asked for again and again while none admits anything: that order is made up once.
+            if len(self.walks) >= WALKS:
+                self.walks.clear()
+            order = self.walks[id(table), slot] = list(dict.fromkeys(chain(table[slot:], table[:slot])))
+        yield from islice(order, len(first), None)
 
     def in_scope(self, flow: Flow, server: Server) -> bool:
         """Guards against a second effect: a referenced flow that may have run stays where repeats are
@@ -723,6 +734,8 @@
         return server.zone == ran.zone if flow.type.scope is Scope.ZONE else server.cell == ran.cell
 
     def limit(self, now: int, server: Server) -> float:
+        if server.limit == math.inf:
+            return math.inf
         # Past ten time constants the cut is forgotten; the exponential would run out of range on a far clock.
         if now - server.cut_at > 10 * LIMIT_GROWTH:
             return math.inf
@@ -738,12 +751,11 @@
         s, age = self.settings, min(max(now - server.since, 0), self.settings.cold)
         return s.cold_share + (1 - s.cold_share) * age / s.cold
 
-    def fits(self, now: int, server: Server, flow: Flow, without: float, with_it: float) -> bool:
+    def fits(self, limit: float, server: Server, flow: Flow, without: float, with_it: float) -> bool:
         """Whether that flow may be among what the limit leaves. Where one flow is more than the limit has
         left, the part is kept by a hash of key and server, mostly: so hundreds of balancers with a flow each
         yield the same groups to the same next servers, and in the sum as much as each would if it held them
         all."""
-        limit = self.limit(now, server)
         if with_it <= limit or without >= limit:
             return with_it <= limit
         return without + (with_it - without) * self.rank(server, flow) <= limit
@@ -765,12 +777,15 @@
         """Whether the server may be sent a flow at all, however bad the others look."""
         if now < server.full_until or len(server.out) >= IN_FLIGHT:
             return False
-        if not self.fits(now, server, flow, self.load(server), self.load(server, flow)):
-            return False
-        # Another copy of a group needs room to spare: near their limits servers would trade connections for
-        # copies.
-        if flow.grouped and not home and flow.key not in server.groups:
-            if self.load(server, flow) > COPY_ROOM * self.limit(now, server):
+        limit = self.limit(now, server)
+        if limit < math.inf:
+            load, copy = self.load(server), flow.grouped and flow.key not in server.groups
+            with_it = load + 1 + GROUP_WORK * copy
+            # Another copy of a group needs room to spare: near their limits servers would trade connections
+            # for copies.
+            if load >= limit or copy and not home and with_it > COPY_ROOM * limit:
+                return False
+            if not self.fits(limit, server, flow, load, with_it):
                 return False
         # Of a cold server's flows a part. In flight: one more than it has answered.
         return not self.cold(now, server) or server in flow.admitted and len(server.out) <= server.answers
@@ -778,8 +793,8 @@
     def sound(self, now: int, server: Server, flow: Flow, home: bool) -> bool:
         """Guards against a server that passes probes and serves none, and slow ones' full share. Of its keys
         a strained server gives up part after part, the same at all balancers: copies of groups cost. Where
-        one sound server of another zone after another does not answer the way is bad, not they: guards against
-        a few connects lost at each of its servers, at each balancer."""
+        one sound server of another zone after another does not answer the way is bad, not they: guards
+        against a few connects lost at each of its servers, at each balancer."""
         if self.way_lost(server) and now < self.ways[server.zone][1]:
             return False
         if max(server.misses, server.errors) >= MISSES and (now < server.trial_at or server.out):
@@ -841,7 +856,7 @@
             flow, pause = self.release(server), SHED_EVERY
             load = self.load(server)
             alone = flow.grouped and server.groups[flow.key] == 1
-            if self.fits(now, server, flow, load - 1 - GROUP_WORK * alone, load):
+            if self.fits(self.limit(now, server), server, flow, load - 1 - GROUP_WORK * alone, load):
                 return None      # until a further cut
         elif self.homing and server.zone != self.settings.zone:
             flow, pause = self.release(server), int(HOMING_SPREAD / len(server.flows))
@@ -865,8 +880,10 @@
         shares = self.settings.shares if self.settings.overage_payoff < 1 else []
         over = {customer for customer, count in self.customers.items()
                 if customer < len(shares) and count * self.settings.instances > shares[customer]}
-        return min(server.flows, key=lambda f: (f.customer not in over, server.groups[f.key],
-                                                             -self.rank(server, f)))
+        ranked = [(f.customer not in over, server.groups[f.key]) for f in server.flows]
+        first = min(ranked)
+        return max((f for f, place in zip(server.flows, ranked) if place == first),
+                   key=lambda f: self.rank(server, f))
 
     def jittered(self, span: int, part: float) -> int:
         return int(span * (1 + part * (2 * self.draw() - 1)))
@@ -876,6 +893,7 @@
         return crc32(self.draws.to_bytes(8, "little"), self.seed & 0xFFFFFFFF) / 0xFFFFFFFF
 
 
+WALKS = 256                   # of 1021 slots: with two hundred servers half a megabyte
 SLOTS = 32                    # of a window: three in a hundred of it are counted against the balancer
 PROBE_POINTS = 0.01           # what probes may cost of a flow's worth: little beside what a bad server costs
 DEAR_CROSSING = 0.03          # points a crossing: above it keeping groups whole across zones cannot pay
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -462,7 +462,7 @@
         balancer, server = ledger.balancer, ledger.balancer.servers[7]
         server.limit, server.cut_at = 0.5, ledger.now
         kept.append({key for key in range(1, 201)
-                     if balancer.fits(ledger.now, server, Flow(key, service(), key, START), 0, 1)})
+                     if balancer.fits(balancer.limit(ledger.now, server), server, Flow(key, service(), key, START), 0, 1)})
     assert kept[0] == kept[1] and 70 < len(kept[0]) < 130
 
 
