--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -143,15 +143,13 @@
 
     def resettled(self, now: int, settings: Settings) -> None:
         """Other settings from now on; flows that are held go by those that they came under."""
-        window = settings.further_window
+        window, before, self.settings = settings.further_window, self.settings.further_window, settings
         if not window:
             self.taken = self.further = None
-        elif self.taken is None or window != self.settings.further_window:
+        elif self.taken is None or window != before:
             self.taken, self.further = Counted(window, now), Counted(window, now)
-            self.settings = settings
             if now > self.started:      # what went before is not known by this window
                 self.spent_elsewhere(now)
-        self.settings = settings
         targets = [t.message_target for t in settings.service_types if t.message_target]
         self.message_target = min(targets, default=0)
         self.next_look = now
@@ -825,12 +823,14 @@
         usual = self.carried.read(now) / max(seen, 0.05) * s.fall_window / self.carried.tau
         fleet = sum(server.weight for server in self.servers.values() if self.up(server))
         keys = (self.keys[flow.key] - 1) / len(self.flows) if flow.grouped else 0.0
+        homes = [table[mix(flow.key) % TABLE_SIZE] for table, _ in self.pools()]
         for server in cold:
             budget = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL)
-            left = budget - server.dealt.read(now)
-            part = min(max(left, 0.0), 1.0)
+            part = min(max(budget - server.dealt.read(now), 0.0), 1.0)
             server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
+            # Where their own servers are full all flows get here, not a share of them.
+            part *= 1.0 if server in homes else max(share, LEAST_USUAL / max(usual, LEAST_USUAL))
             # One put back by hand is owed its first flow, and one flow a window is anyone's to send it.
             first = server.owed and not server.answers and not server.out
             chance = 1.0 if first else part * share / max(share, keys)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -735,3 +735,31 @@
     for server in [s for s in ledger.balancer.servers.values() if s.zone == 0][:4]:
         ledger.balancer.judge_connect(ledger.now, server, Outcome.CONNECT_FAILED, 0)
     assert not ledger.balancer.ways
+
+
+def test_flows_of_other_keys_get_a_cold_servers_share_of_the_budget_where_all_their_own_servers_are_full():
+    # Hunted on lagos-main: after a mass restart all flows of three balancers walked on to one server three seconds old, each by
+    # a part of the budget meant for the flows of its own keys: 10.2 times what it could do, and it fell over.
+    ledger = Ledger(servers=6)
+    settle(ledger)
+    for _ in range(300):
+        flow = ledger.arrive()
+        ledger.accept(flow)
+        ledger.end(flow, Outcome.OK)
+        ledger.pass_time(SECOND // 20)
+    balancer = ledger.balancer
+    cold, *rest = balancer.servers.values()
+    cold.since = ledger.now
+    table, _ = balancer.pools()[0]
+    for server in rest:
+        server.full_until = ledger.now + 60 * SECOND
+    usual = balancer.carried.read(ledger.now) / 0.5 * balancer.settings.fall_window / balancer.carried.tau
+    sent = []
+    for key in range(1000, 1400):
+        own = table[mix(key) % TABLE_SIZE] is cold
+        flow = ledger.arrive(key=key)
+        if flow.server is cold:
+            sent.append(own)
+            ledger.accept(flow)
+    budget = balancer.settings.overload_factor * 0.2
+    assert usual > 20 and 0 < sent.count(False) <= budget * usual / 6 + 1 and sent.count(True) > 0
