--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -830,7 +830,7 @@
             server.dealt.add(now, part)
             share = server.weight / max(fleet, server.weight)
             # Where their own servers are full all flows get here, not a share of them.
-            part *= 1.0 if server in homes else max(share, LEAST_USUAL / max(usual, LEAST_USUAL))
+            part *= 1.0 if server in homes else max(share, OTHERS / max(usual, LEAST_USUAL))
             # One put back by hand is owed its first flow, and one flow a window is anyone's to send it.
             first = server.owed and not server.answers and not server.out
             chance = 1.0 if first else part * share / max(share, keys)
@@ -915,6 +915,7 @@
 YIELDED = 1e9                 # flows: more than any budget, for longer than the process still lives
 BORNE = 10 * SECOND           # thrice the time in which a server that has too much says so
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
+OTHERS = 0.75                 # of it: with it all, forty balancers at once came to a fifth over the rule
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
