--- a/cypresswalk/rollout/serving.py
+++ b/cypresswalk/rollout/serving.py
@@ -8,8 +8,8 @@
 import logging
 from typing import Any
 
-from cypresswalk.rollout.duty import (CHECK, LEAVE, LOOK, READY, USE, Ask, Check, Draw, Duty, End, Now, Runs, Save, Start, Started, Wait,
-                                      Work, target)
+from cypresswalk.rollout.duty import (CHECK, LEAVE, LOOK, READY, USE, Ask, Draw, Duty, End, Now, Runs, Save, Start, Started, Wait, Work,
+                                      target)
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_servings.py
+++ b/tests/test_servings.py
@@ -158,3 +158,17 @@
         finally:
             await rig.end()
     asyncio.run(run())
+
+
+def test_where_most_balancers_are_silent_a_server_goes_out_by_force_alone():
+    w = Servings(1, 4, 2, voters=3, followers=2)
+    w.start()
+    w.run(8 * SECOND)
+    leader, said = w.leader(), []
+    leader.fleet.member.wards.words.clear()     # as a leader that has just begun
+    ask = {"ident": "a", "by": "test", "at": 0, "server": "s0"}
+    w.call(leader, "out", ask, SECOND, lambda ok, body: said.append((ok, body["why"])))
+    w.call(leader, "out", ask | {"ident": "b", "forced": True}, SECOND, lambda ok, body: said.append((ok, body["why"])))
+    w.run(SECOND)
+    assert not said[0][0] and "have not said yet which servers are bad" in said[0][1] and said[1][0], said
+    assert "server s0 out" in w.release().history[-1].what
