--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -572,10 +572,7 @@
         if name not in kinds:
             raise ValueError("no such call")
         if name == "out":
-            try:
-                args = args | {"seen": self.wards.bad(now, self.idents()) if args.get("forced") else self.bad_servers(now)}
-            except Busy as error:
-                raise ValueError(str(error)) from None      # a plain no: nothing is done, and its caller asks again
+            args = args | {"seen": self.wards.bad(now, self.idents()) if args.get("forced") else self.bad_servers(now)}
         command = kinds[name](**args)
         return msgspec.convert(msgspec.to_builtins(command), type(command))
 
