Under a halt a server's set-down is refused by it, whatever has been told of servers

Cause: Member.command asks whether most balancers have spoken of servers before the state machine sees the halt; a leader that has just begun waits some second for that, a caller at admin_addr 0.7 s. Ruled out: the halt's own record (drain-on named it). Change: under a halt the call goes through with what is known, and is refused by the halt.

--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -572,7 +572,9 @@
         if name not in kinds:
             raise ValueError("no such call")
         if name == "out":
-            args = args | {"seen": self.wards.bad(now, self.idents()) if args.get("forced") else self.bad_servers(now)}
+            # Under a halt it is refused whatever is seen, and its caller is to hear of that.
+            whatever = args.get("forced") or self.agreed.state.halted
+            args = args | {"seen": self.wards.bad(now, self.idents()) if whatever else self.bad_servers(now)}
         command = kinds[name](**args)
         return msgspec.convert(msgspec.to_builtins(command), type(command))
 
