A server's agent begins its turn by the balancer's code, with what differs as one question

Need: review: ServerDuty.look_for_work repeated Duty's, with its own question before and its own first step after. Change: Duty.not_yet and first_step are what differs; the rest is one.

--- a/cypresswalk/rollout/duty.py
+++ b/cypresswalk/rollout/duty.py
@@ -107,6 +107,8 @@
 
 
 class Duty:
+    first_step = "beside"
+
     def __init__(self, member: str, first: str, admins: tuple[str, str], doing: Doing):
         self.member, self.first, self.admins, self.doing = member, first, admins, doing
         self.started_at: float | None = None
@@ -175,21 +177,19 @@
         if doing.version not in (turn["since"], turn["to"]):
             log.error("event=other_version runs=%s release=%s", doing.version, turn)
             return
-        if (yield from self.begins_still()):
+        if (yield from self.not_yet(turn)):
             return
         asked = yield Now()
         ok, _ = yield Ask("release_began", {"member": self.member, "to": to}, doing.change)
         if not ok:
             return      # `changing` above, if it was agreed all the same
-        doing.to, doing.young = to, 0
+        doing.to, doing.young, doing.failed = to, 0, False
         if (yield Now()) - asked > USE:
             yield from self.next("told", "the yes came too late to be used")
-        elif doing.version == to:
-            yield from self.next("told")
         else:
-            yield from self.next("beside")
+            yield from self.next("told" if doing.version == to else self.first_step)
 
-    def begins_still(self) -> Work:
+    def not_yet(self, turn: dict[str, Any]) -> Work:
         """Guards against a second process beside one that is only beginning: neither would find the other, both would listen, and the one
         without a part in the fleet would reject what came to it."""
         running = yield Runs(self.doing.pid)
--- a/cypresswalk/rollout/serving.py
+++ b/cypresswalk/rollout/serving.py
@@ -8,8 +8,7 @@
 import logging
 from typing import Any
 
-from cypresswalk.rollout.duty import (CHECK, LEAVE, LOOK, READY, USE, Ask, Draw, Duty, End, Now, Runs, Save, Start, Started, Wait, Work,
-                                      target)
+from cypresswalk.rollout.duty import CHECK, LEAVE, LOOK, READY, Ask, Duty, End, Now, Runs, Save, Start, Started, Wait, Work, target
 
 log = logging.getLogger(__name__)
 
@@ -17,6 +16,8 @@
 class ServerDuty(Duty):
     """`doing.step`: "", "emptying", "starting", "undoing", "told"."""
 
+    first_step = "emptying"
+
     def run(self) -> Work:
         while True:
             match self.doing.step:
@@ -33,31 +34,10 @@
                     yield from self.look_for_work()
             yield Wait(LOOK)
 
-    def look_for_work(self) -> Work:
-        doing, turn = self.doing, (yield from self.turn())
-        if turn is None:
-            return
-        if turn["status"] == "changing":
-            # Agreed, and lost between its yes and this agent's disk: it has done nothing of it.
-            doing.change = yield Draw()
-            yield from self.next("told", "its agent began anew")
-            return
-        to = target(turn)
-        if doing.version not in (turn["since"], turn["to"]):
-            log.error("event=other_version runs=%s release=%s", doing.version, turn)
-            return
-        if not turn["settled"]:
-            return      # a balancer may send it flows still
-        doing.change = yield Draw()
-        asked = yield Now()
-        ok, _ = yield Ask("release_began", {"member": self.member, "to": to}, doing.change)
-        if not ok:
-            return      # `changing` above, if it was agreed all the same
-        doing.to, doing.young, doing.failed = to, 0, False
-        if (yield Now()) - asked > USE:
-            yield from self.next("told", "the yes came too late to be used")
-        else:
-            yield from self.next("told" if doing.version == to else "emptying")
+    def not_yet(self, turn: dict[str, Any]) -> Work:
+        """Else a balancer might send it flows still."""
+        return not turn["settled"]
+        yield
 
     def go_emptying(self) -> Work:
         doing = self.doing
