--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -118,3 +118,16 @@
     assert asked("ERR starting", 1.0) == ["turn"]
     assert asked("", 1.0) == ["turn", "release_began"]
     assert asked("ERR starting", 30.0) == ["turn", "release_began"]     # a crash loop must find the way back
+
+
+def test_an_agent_that_no_release_names_asks_every_two_seconds_and_at_each_look_while_one_does():
+    """Each call costs who leads a round of the voters: of 200 idle agents more words than of all else."""
+    def asks(status: str) -> int:
+        work, now, count, answer = Duty("n0", OLD, ("a", "b"), Doing(OLD, 7, "a")).run(), 0.0, 0, None
+        while now < 10:
+            want = work.send(answer)
+            count += isinstance(want, duty.Ask)
+            now += want.seconds if isinstance(want, duty.Wait) else 0.0
+            answer = {duty.Runs: True, duty.Now: now, duty.Ask: (True, {"status": status})}.get(type(want))
+        return count
+    assert asks("") == 5 and asks("old") == 20
