A change of the list is told within 6 s of any failed call; lists may come on several lines

A call begun just before discovery returned held 5 s for the set-up and 5 s anew for each read, then a pause of up to 2.6 s: told after 12 s; bytes that trickled without a word reset the silence each time. A word read before SIGHUP was heard was dropped with its address (tell, 'if not self.ended'), a drain among them. A server withheld twice was believed after the first wait. A file half written at SIGHUP was logged and never read again. Ruled out: versions skipped by since= (entries wait in one queue in the order in which they were read); an ask lost between follow and clear (the module asks again only after the failure is told, which is posted after it). Also here, since it touches the same files: a stop answers what the machine accepted up to its end (backlog, resting connections, no place left), a client's end is looked at where a dial begins and before the first line goes out, windows bind there too, no lock is held over that write, a connect still in dial at its time is known not to have run, an UP without receipt is none, SIGTERM is heeded from before the listening socket on.

--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -149,7 +149,12 @@
 
     def due(self, now: int) -> int:
         """When it must be looked at again, if nothing happens before."""
-        return self.ask_until if now < self.ask_until or not self.held_until else self.held_until
+        # Its time may have been cut since: guards against an answer after the end of a stop.
+        return min(self.ask_until if now < self.ask_until or not self.held_until else self.held_until, self.until)
+
+    def repeats_until(self) -> float:
+        """When a connect more of one that may have run does harm, where servers drop repeats for a while."""
+        return self.ran_at + self.type.window if self.type.effect is Effect.REFERENCED else float("inf")
 
 
 # What the module may decide; the host carries each out at once.
--- a/cypresswalk/net/clients.py
+++ b/cypresswalk/net/clients.py
@@ -92,12 +92,16 @@
     def send_off(self) -> bool:
         """Its place is needed. Its thread finds an end and answers; what came just then gets a reject, not an end alone.
         Whoever has spoken stays: its thread may be late."""
-        with self.passing:
+        if not self.passing.acquire(blocking=False):
+            return False        # it has spoken; its thread may be writing to a server that reads nothing
+        try:
             if self.opened or self.unwanted or self.link.has_come():
                 return False
             self.unwanted = True
             self.link.shut(socket.SHUT_RD)
             return True
+        finally:
+            self.passing.release()
 
     def drain(self) -> None:
         """What still comes is read before the end, not much and not long: closing on it would take the answer back."""
@@ -122,6 +126,10 @@
         except OSError:
             pass
 
+    def gone(self) -> bool:
+        """Whether its end has come, read by its thread or not."""
+        return self.link.done.is_set() or self.link.end_has_come()
+
     def pass_lines(self) -> None:
         while data := self.link.sock.recv(self.limits.line):
             with self.passing:
@@ -151,9 +159,9 @@
         self.room = Semaphore(limits.flows + limits.at_door)
         self.clients: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}        # the oldest first
+        self.ends_at: int | None = None         # the door shuts then, for good
+        self.closed = False
         self.sock = sock or self.listen(address)
-        if shared:
-            self.sock.settimeout(limits.accept_pause / SECOND)
 
     def listen(self, address: Address) -> socket.socket:
         until = self.inbox.clock() + self.limits.bind
@@ -165,10 +173,18 @@
                     raise
                 time.sleep(self.limits.accept_pause / SECOND)
 
-    def make_room(self) -> None:
-        """Guards against clients that say nothing and keep others out: the oldest of them go."""
+    def make_room(self) -> bool:
+        """Guards against clients that say nothing and keep others out: the oldest of them go. False once the door shuts."""
         while not self.room.acquire(timeout=self.limits.accept_pause / SECOND):
             self.clear_door(len(self.silent))
+            if self.left() <= 0:
+                return False
+        return True
+
+    def left(self) -> int:
+        """How long to wait for a client before a look at whether to go on."""
+        wait = self.limits.accept_pause if self.shared else self.limits.accept_wait
+        return wait if self.ends_at is None else min(self.ends_at - self.inbox.clock(), wait)
 
     def clear_door(self, most: int) -> None:
         latest = self.inbox.clock() - self.limits.idle
@@ -177,8 +193,10 @@
                 self.core.counters.add("clients_idle")
 
     def run(self) -> None:
-        while self.taking:
-            self.make_room()
+        while self.taking and self.left() > 0:
+            if not self.make_room():
+                break
+            self.sock.settimeout(max(self.left(), MILLISECOND) / SECOND)
             try:
                 sock, _ = self.sock.accept()
             except TimeoutError:
@@ -190,16 +208,53 @@
                 log.warning(event("accept_failed", why=error))
                 time.sleep(self.limits.accept_pause / SECOND)
                 continue
-            self.core.counters.add("clients")
-            try:
-                client = Client(sock, self.core, self.inbox, self.limits, self.silent)
-                start_thread(lambda client=client: self.serve(client))
-            except (OSError, RuntimeError) as error:
-                log.error(event("client_not_served", why=error))
-                sock.close()
-                self.room.release()
+            self.take(sock)
             if len(self.silent) > self.limits.at_door:
                 self.clear_door(len(self.silent) - self.limits.at_door)
+        if self.taking:
+            self.shut()
+        self.closed = True
+
+    def take(self, sock: socket.socket) -> None:
+        """In a place that is held for it."""
+        self.core.counters.add("clients")
+        try:
+            client = Client(sock, self.core, self.inbox, self.limits, self.silent)
+            start_thread(lambda client=client: self.serve(client))
+        except (OSError, RuntimeError) as error:
+            log.error(event("client_not_served", why=error))
+            sock.close()
+            self.room.release()
+
+    def send_off_silent(self) -> None:
+        """Nobody waits for those that stand at the door and say nothing: they are told no."""
+        for client in list(self.silent):
+            client.send_off()
+
+    def shut(self) -> None:
+        """Guards those that the machine has accepted against a reset in place of an answer."""
+        self.sock.setblocking(False)
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                break
+            if self.room.acquire(blocking=False):
+                self.take(sock)
+            else:
+                self.turn_away(sock)
+        self.sock.close()
+
+    def turn_away(self, sock: socket.socket) -> None:
+        """With no place left for it; what it has said by now is read, or the answer would be taken back."""
+        try:
+            sock.setblocking(False)
+            sock.send(BUSY)
+            sock.shutdown(socket.SHUT_WR)
+            sock.recv(self.limits.line)
+        except OSError:
+            pass
+        sock.close()
 
     def serve(self, client: Client) -> None:
         self.clients[client] = self.silent[client] = None
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -50,10 +50,11 @@
 
 class Leg:
     """One connect to a server."""
-    __slots__ = ("session", "server", "number", "sent", "gauge", "asked_at", "link")
+    __slots__ = ("session", "server", "number", "sent", "latest", "gauge", "asked_at", "link")
 
-    def __init__(self, session: Session, server: Server, number: int, sent: int, gauge: "Gauge"):
+    def __init__(self, session: Session, server: Server, number: int, sent: int, latest: int, gauge: "Gauge"):
         self.session, self.server, self.number, self.sent, self.gauge = session, server, number, sent, gauge
+        self.latest = latest                # its line goes out before then or not at all
         self.asked_at = 0                   # when the oldest line went out that nothing came back for
         self.link: object = None            # the driver's
 
@@ -93,6 +94,7 @@
     def join(self, leg: Leg) -> None: ...
     def drop(self, leg: Leg) -> None: ...
     def recall(self, leg: Leg) -> bool: ...
+    def close_door(self, at: int) -> None: ...
     def answer(self, session: Session, line: bytes) -> None: ...
     def close(self, session: Session) -> None: ...
     def move(self, session: Session) -> None: ...
@@ -110,7 +112,7 @@
         self.notes = Notes(config.tells_load, config.tells_delay, self.limits)
         self.balancer = policy(config.settings, config.seed, now)
         self.addresses: dict[int, Address] = {}
-        self.withheld: dict[int, tuple[Server, Address]] = {}
+        self.withheld: dict[int, tuple[int, Server, Address]] = {}      # believed from then on
         self.gauges: dict[int, Gauge] = {}
         self.sessions: dict[Flow, Session] = {}
         self.seen: OrderedDict[int, None] = OrderedDict()       # the latest ids, the oldest first
@@ -330,14 +332,20 @@
         back = (known is not None and known.state is not State.READY and server.state is State.READY
                 and server.since <= known.since)
         if back:
-            self.withheld[server.id] = server, address
+            self.withheld[server.id] = now + self.limits.list_settles, server, address
             self.at(now + self.limits.list_settles, self.believe, server.id)
         return back
 
     def believe(self, now: int, ident: int) -> None:
-        entry = self.withheld.pop(ident, None)
-        if entry is not None:
-            self.listed(now, ListForm.DELTA, [entry])
+        # One that a second address has withheld since waits its own time.
+        if ident in self.withheld and self.withheld[ident][0] <= now:
+            self.listed(now, ListForm.DELTA, [self.withheld.pop(ident)[1:]])
+
+    def taken_back(self, entries: list[tuple[Server, Address]]) -> list[tuple[Server, Address]]:
+        """Of an address's last words those that have servers drain or go, but for such as have started again since."""
+        known = self.balancer.servers
+        return [(server, address) for server, address in entries
+                if server.state is not State.READY and server.id in known and server.since >= known[server.id].since]
 
     def list_failed(self, now: int) -> None:
         self.counters.add("lists_failed")
@@ -370,9 +378,11 @@
     def connect_late(self, now: int, leg: Leg) -> None:
         session = leg.session
         if session.leg is leg and not session.over and not session.standing:
+            # In dial still: then it is certain that nothing ran.
+            outcome = Outcome.CONNECT_FAILED if self.drivers.recall(leg) else Outcome.TIMEOUT
             self.drivers.drop(leg)
             if session.flow in self.sessions:
-                self.ended(now, leg, Outcome.TIMEOUT)
+                self.ended(now, leg, outcome)
 
     def hear(self, now: int) -> None:
         """Tells the module of connections on which nothing comes back."""
@@ -427,7 +437,9 @@
         if gauge is None:
             gauge = self.gauges[server.id] = Gauge(server, max(self.limits.delay_long, self.limits.own_delay),
                                                     self.limits.told_every)
-        leg = session.leg = Leg(session, server, number, now, gauge)
+        flow = session.flow
+        latest = until if flow.may_have_run is None else min(until, flow.repeats_until())
+        leg = session.leg = Leg(session, server, number, now, latest, gauge)
         self.at(until, self.connect_late, leg)
         self.counters.add("connects")
         line = session.opening.line(max((until - now) // MILLISECOND, 1))
@@ -465,6 +477,7 @@
         # One that stands beside this one is there: the longer the moves take, the less they press on anyone.
         beside = self.side is not None and self.side.other is not None
         self.depart(now, Phase.LEAVING, self.limits.leave_first if beside else max(span // 2, self.limits.leave_first), span)
+        self.drivers.close_door(self.close_at)
         if self.side is not None:
             self.side.hand_over(now)
 
@@ -490,9 +503,9 @@
         if now >= self.close_at:
             for flow in standing:
                 self.move(now, flow)
-            waiting = self.claims is not None and self.claims.waiting
-            if not self.sessions and not waiting and self.phase is Phase.LEAVING:
-                self.stopped = True
+            if self.phase is Phase.LEAVING:
+                waiting = self.claims is not None and self.claims.waiting
+                self.stopped = not self.sessions and not waiting
             self.at(now + self.limits.leave_tick, self.leave, departure)
         elif standing:
             self.move(now, standing[0])
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -37,15 +37,22 @@
     silence: int = 4 * SECOND       # a client's line has no answer, nor have the two that it says in that time
     silence_alone: int = SECOND     # and one who asked the same server later has its answer
     silence_tick: int = SECOND // 4
-    list_silence: int = 5 * SECOND  # two of the list's two-second beats missed
+    # What discovery has to tell counts as told so long after it had it and could be reached, or after a watch fell silent.
+    # A watch's last word may be as old as it when it falls silent: silence, a call at once, and time to tell make 5.9 s.
+    # A call that has just begun when discovery is back: call, longest pause, call again make 4.3 s.
+    list_told: int = 6 * SECOND
+    list_silence: int = 22 * SECOND // 5    # two of the list's two-second beats missed, and 0.4 s for the way
+    list_call: int = 3 * SECOND // 2        # set-up, request and first word of one call
     list_settles: int = 4 * SECOND  # another address of the list knows what the one before knew by then
     list_read: int = 1 << 16
-    list_retry: int = SECOND // 5   # doubles up to list_retry_most
-    list_retry_most: int = 2 * SECOND
+    list_retry: int = SECOND // 5   # doubles up to list_retry_most; each 30% more or less
+    list_retry_most: int = SECOND
+    reload_again: int = 2 * SECOND  # a file that can't be read at SIGHUP is tried again for so long: half written, mostly
     own_delay: int = SECOND // 20   # so long a burst of set-ups may hold a line back here: no word on its server
     told_every: int = SECOND        # delays of one server are told, and passed to the module, at this pace
     told_jitter: int = 5 * MILLISECOND     # what the way and this program add to that pace: seen under 1 ms
     accept_pause: int = SECOND // 20
+    accept_wait: int = SECOND // 5  # the door looks so often whether it is to shut
     bind: int = 3 * SECOND          # the address of a process that has just died may be taken for a moment
     log_lines: int = 50             # a second; what floods the log would hold up what writes it
     leave_most: int = 3 * SECOND    # a stop goes on for the longest connect timeout, but no longer than this
--- a/cypresswalk/net/link.py
+++ b/cypresswalk/net/link.py
@@ -69,6 +69,18 @@
                 pass
             return True
 
+    def end_has_come(self) -> bool:
+        """Whether an end or a reset waits to be read, were it behind other bytes."""
+        with self.gate:
+            try:
+                if not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                    return True
+                return self.other_end_closed()
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
     def other_end_closed(self) -> bool:
         """Told by the kernel's state of the connection, where reading has been shut and can't tell."""
         return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in OTHER_END_CLOSED
--- a/cypresswalk/net/registry.py
+++ b/cypresswalk/net/registry.py
@@ -1,6 +1,5 @@
 """Decodes discovery's list of servers. Knows no socket."""
 
-import json
 import logging
 import reprlib
 from hashlib import blake2b
@@ -37,13 +36,6 @@
         """For another address, whose versions need not be this one's: from the first one on."""
         return Registry(self.zones, self.names)
 
-    def read(self, line: bytes) -> tuple[ListForm, list[tuple[Server, Address]]]:
-        try:
-            data = json.loads(line)
-        except (ValueError, RecursionError) as error:
-            raise ProtocolError(f"the list is not JSON: {error}") from None
-        return self.decode(data)
-
     def decode(self, data: object) -> tuple[ListForm, list[tuple[Server, Address]]]:
         """An odd entry is logged and passed over."""
         if not isinstance(data, dict) or not isinstance(data.get("instances"), list):
--- a/cypresswalk/net/servers.py
+++ b/cypresswalk/net/servers.py
@@ -1,5 +1,7 @@
 """Connects to servers on behalf of clients and passes on what they say."""
 
+import errno
+import re
 import socket
 from threading import Lock
 
@@ -15,6 +17,10 @@
 FIRST = {b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
 
 
+UP = re.compile(rb"UP [!-~][ -~]*")      # with its receipt: one without is no server's yes
+OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+
+
 class ServerLink:
     """One connect to a server; its thread runs `run`."""
 
@@ -24,7 +30,8 @@
         self.client, self.told = leg.session.link, Told()
         self.lines = Lines(limits.line)
         self.link: Link | None = None
-        self.sending = Lock()           # the first line goes out whole, or the connect was dropped before
+        self.sending = Lock()           # the first line goes out, or the connect was dropped before. Never held over a
+        # write: guards the deciding thread against a server that reads nothing
         self.dropped = self.moved = self.sent = False
         self.verdict = Lock()           # held until the core has said whether UP is passed on
         self.verdict.acquire()
@@ -40,7 +47,7 @@
             first = self.first_line()
             if first is None:
                 self.end(Outcome.RESET)
-            elif first.partition(b" ")[0] != b"UP":
+            elif not UP.fullmatch(first):
                 self.end(FIRST.get(first.partition(b" ")[0], Outcome.ERROR))
             else:
                 self.inbox.post(self.core.up, self.leg)
@@ -58,27 +65,46 @@
     def end(self, outcome: Outcome) -> None:
         self.inbox.post(self.core.ended, self.leg, outcome)
 
+    def client_gone(self) -> bool:
+        """Its word to the deciding thread may still be on its way: guards servers against flows that nobody waits for."""
+        if not self.client.gone():
+            return False
+        self.inbox.post(self.core.left, self.leg.session)
+        return True
+
     def dial(self) -> socket.socket | None:
         """None where it was refused or has not come up in time."""
+        if self.dropped or self.client_gone():
+            return None
         began = self.inbox.clock()
         try:
             sock = dial(self.address, self.limits.dial)
-        except OSError:
-            self.end(Outcome.CONNECT_FAILED)
+        except OSError as error:
+            # Short of what this machine has: no word on the server.
+            self.end(Outcome.MOOT if error.errno in OWN_SHORTAGE else Outcome.CONNECT_FAILED)
             return None
         self.leg.gauge.set_up(self.inbox.clock() - began)
         return sock
 
     def send_opening(self) -> bool:
+        if self.client_gone():
+            return False
         with self.sending:
             if self.dropped:
                 return False
-            self.sent = True
-            try:
-                self.link.sock.sendall(self.opening)
-            except OSError:
-                self.end(Outcome.CONNECT_FAILED)
-                return False
+            # A dial takes its time: the window of a flow that may have run binds when the line goes out.
+            if late := self.inbox.clock() >= self.leg.latest:
+                self.dropped = True
+            else:
+                self.sent = True
+        if late:
+            self.end(Outcome.MOOT)
+            return False
+        try:
+            self.link.sock.sendall(self.opening)
+        except OSError:
+            self.end(Outcome.CONNECT_FAILED)        # the last byte never went out
+            return False
         self.core.counters.add("connects_written")
         return True
 
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -59,6 +59,8 @@
         self.listener = Listener(config.listen, self.core, self.inbox, self.limits, shared, sockets[0] if sockets else None)
         self.keeper = None
         self.binding = None
+        self.reloads = 0                # signals that asked for it
+        self.ends_at = 0                # once all flows are answered: when it ends whoever still reads
 
     def operate(self, config: Config) -> list[socket.socket]:
         """Operators may call and upgrade it; the sockets that a process before this one has passed on, if there is one.
@@ -100,9 +102,11 @@
         if self.keeper is not None:
             self.keeper.start()
         queue, calls, core, last = self.inbox.queue, self.inbox.calls, self.core, self.clock()
-        while not core.stopped:
+        while not self.over():
             due = core.next_due()
             wait = SECOND if due is None else due - self.clock()
+            if core.stopped:
+                wait = min(wait, self.limits.leave_tick)
             try:
                 item = queue.get(timeout=wait / SECOND) if wait > 0 else queue.get_nowait()
                 # All that waits now, and no more: a flood of events must not keep decisions waiting.
@@ -122,11 +126,18 @@
             last = max(last, self.clock())
             self.guarded(core.pass_time, last)
             self.guarded(core.pull, last)
-        until = self.clock() + self.limits.leave_end
         if self.keeper is not None:
             self.guarded(self.keeper.finish, self.clock())
-        while self.clock() < until and self.listener.clients:
-            time.sleep(self.limits.leave_tick / SECOND)
+
+    def over(self) -> bool:
+        """Whether nothing is owed any more: flows are answered, the door is shut, and whoever was told something has gone or
+        had time to read it. Guards clients that come in the last moments against being taken and never answered."""
+        if not self.core.stopped:
+            return False
+        self.ends_at = self.ends_at or self.clock() + self.limits.leave_end
+        if self.listener.closed:
+            self.listener.send_off_silent()
+        return self.listener.closed and not self.listener.clients and not self.inbox.queue.qsize() or self.clock() > self.ends_at
 
     def guarded(self, call: Callable, now: int, *words: object) -> None:
         """Guards the clients that stand against a fault over one flow."""
@@ -143,19 +154,30 @@
         self.core.stop(now)
 
     def reload(self, now: int) -> None:
-        """The list comes from where the file says now; what runs stays. A file that can't be used changes nothing."""
+        self.reloads += 1
+        self.reload_until(now, self.reloads, now + self.limits.reload_again)
+
+    def reload_until(self, now: int, number: int, until: int) -> None:
+        """The list comes from where the file says now; what runs stays. A file that can't be used is looked at again for a
+        while, unless the next SIGHUP has come: guards against one that is half written when the signal comes."""
+        if number != self.reloads:
+            return
         try:
             discovery = discovery_anew(self.path)
         except ConfigError as error:
-            log.error(event("reload_failed", why=error))
+            if now < until:
+                self.core.at(now + self.limits.list_retry, self.reload_until, number, until)
+            else:
+                log.error(event("reload_failed", why=error))
             return
         log.info(event("reload", discovery="%s:%d" % discovery, before="%s:%d" % self.watch.address))
         if discovery == self.watch.address:
+            self.watch.call()
             return
         old = self.watch
         new = Watch(discovery, old.registry.elsewhere(), self.core, self.inbox, self.limits, old.asked,
                     max(old.floor, old.registry.version))
-        new.wanted.set()        # what the module has asked for it has asked of any address
+        new.call()              # what the module has asked for it has asked of any address
         start_thread(new.run, self.limits.fault_pause, self.limits.list_stack)
         self.watch = new
         old.end()
@@ -210,6 +232,9 @@
     def recall(self, leg: Leg) -> bool:
         return leg.link.recall()
 
+    def close_door(self, at: int) -> None:
+        self.listener.ends_at = at
+
     def answer(self, session: Session, line: bytes) -> None:
         session.link.link.send_now(line)
         session.link.link.shut(socket.SHUT_WR)
@@ -224,7 +249,7 @@
         self.prober.probe(server, address)
 
     def subscribe(self) -> None:
-        self.watch.wanted.set()
+        self.watch.call()
 
     def tell(self, message: bytes) -> None:
         if self.peers is not None:
@@ -249,6 +274,10 @@
     """Another policy, core or program than the product's own is for comparison, tracing and faults alone."""
     # Until there is something to reload; its own action would end the start.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Guards those whom the machine accepts from the listening socket on against an end without an answer.
+    told_to_end = []
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told_to_end.append(True))
     try:
         config = load(dict(os.environ))
     except ConfigError as error:
@@ -266,6 +295,8 @@
         return 1
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: program.inbox.post(program.stop))
+    if told_to_end:
+        program.inbox.post(program.stop)
     signal.signal(signal.SIGHUP, lambda *_: program.inbox.post(program.reload))
     signal.signal(signal.SIGUSR1, lambda *_: program.inbox.post(program.report))
     log.info(event("start", listen="%s:%d" % config.listen, servers=len(program.core.balancer.servers),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -123,9 +123,9 @@
     (first, address), (second, _) = entries
     assert (first.id, first.zone, first.since, first.state) == (server_number("s-1"), 1, 5 * SECOND, State.DRAINING)
     assert second.zone not in (0, 1) and first.id < 1 << 32 and address == ("127.0.0.1", 9) and registry.version == 9
-    for broken in (b"{", b"[]", b'{"instances":7}'):
+    for broken in (7, [], {"instances": 7}):
         with pytest.raises(ProtocolError):
-            registry.read(broken)
+            registry.decode(broken)
 
 
 def test_echoes_tell_of_a_slow_server_once_a_second_and_once_when_it_is_over():
@@ -243,6 +243,9 @@
     def close(self, session):
         assert session in self.answers
 
+    def close_door(self, at):
+        self.shut_at = at
+
     def move(self, session):
         assert session in self.passing and session not in self.moved
         self.moved.add(session)
