All descriptors add up: connects and probes wait for a place, the list keeps its own

Need: idle clients may fill the descriptors while discovery is down. Seen by adding up Limits at 256: flows 192, door 32, kept probes 16, and beside them any number of probes and of dials that were dropped and still wait; a call for the list or a connect then fails with EMFILE, which was held against its server (servers.py: dial). Ruled out: the door (its places bound clients; what is beyond waits in the backlog). Change: connects wait for one of flows + links_over places, probes for one of probes_out; with fixed ones all add up to the limit (test_limits_follow...). A smaller door was tried: 60 silent clients then took 3.1 s to be told, over the 3 s owed; undone. Measured: with ulimit 256, 96 standing flows, 80 silent clients and a watch that is reset, the list is called and a drain told; no 'Too many open files'. tests/test_crossings.py, test_net.py, test_sockets.py pass.

--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -69,10 +69,15 @@
     call: int = 8 * SECOND // 10    # a caller waits a second
     call_beside: int = SECOND // 2  # and of that a process beside this one has so much to confirm a call
 
+    fixed: int = 8                  # descriptors: three standard ones, door, peers, the list at two addresses, one to come
+
+    # All that may be open at once, added up, leaves the list its descriptor whatever clients do:
+    # flows, a client's and a server's each; at_door; links_over; kept_probes and probes_out; fixed.
+
     @property
     def spare(self) -> int:
-        """Descriptors for the door, kept probes, the list, peers and connections just closing: a quarter, since flows'
-        clients may hold a third and each flow takes another for its server."""
+        """Descriptors for all but flows: a quarter, since flows' clients may hold a third and each flow takes another
+        for its server."""
         return self.sockets // 4
 
     @property
@@ -85,7 +90,16 @@
         """Clients that have not said their line yet, or are told no."""
         return max(self.spare - (self.calls + self.beside) * self.operated, self.spare // 2) // 2
 
+    @property
+    def links_over(self) -> int:
+        """Connections to servers that outlive their flow for a moment: a dial that was dropped, an end that is passed on."""
+        return max(self.spare // 16, 1)
+
     @property
     def kept_probes(self) -> int:
         """Connections to servers that stay open between probes."""
         return self.spare // 4
+
+    @property
+    def probes_out(self) -> int:
+        return max(self.spare // 16, 1)
--- a/cypresswalk/net/probes.py
+++ b/cypresswalk/net/probes.py
@@ -1,7 +1,7 @@
 """Probes servers. A connection that answered is kept: a new one would cost the server more than the probe."""
 
 import socket
-from threading import Lock
+from threading import Lock, Semaphore
 
 from cypresswalk.model import SECOND, Server, State
 from cypresswalk.net.config import Address
@@ -17,13 +17,14 @@
         self.core, self.inbox, self.limits, self.fields = core, inbox, limits, fields
         self.kept: dict[Server, tuple[Address, socket.socket]] = {}
         self.using = Lock()
+        self.places = Semaphore(limits.probes_out)
 
     def probe(self, server: Server, address: Address) -> None:
         with self.using:
             for other in [s for s in self.kept if s.state is State.GONE]:
                 self.kept.pop(other)[1].close()
         try:
-            start_thread(lambda: self.run(server, address))
+            start_thread(lambda: self.wait(server, address))
         except RuntimeError:
             self.inbox.post(self.core.probed, server, False, [])
 
@@ -34,6 +35,11 @@
                 sock.close()
             self.kept.clear()
 
+    def wait(self, server: Server, address: Address) -> None:
+        """Its time counts from when there is room for it: guards sound servers against a miss for want of descriptors here."""
+        with self.places:
+            self.run(server, address)
+
     def run(self, server: Server, address: Address) -> None:
         passed, load = False, []
         until = self.inbox.clock() + self.limits.probe
--- a/cypresswalk/net/servers.py
+++ b/cypresswalk/net/servers.py
@@ -3,9 +3,9 @@
 import errno
 import re
 import socket
-from threading import Lock
+from threading import Lock, Semaphore
 
-from cypresswalk.model import Outcome
+from cypresswalk.model import SECOND, Outcome
 from cypresswalk.net.config import Address
 from cypresswalk.net.core import Core, Leg
 from cypresswalk.net.inbox import Inbox
@@ -24,7 +24,8 @@
 class ServerLink:
     """One connect to a server; its thread runs `run`."""
 
-    def __init__(self, leg: Leg, address: Address, line: bytes, core: Core, inbox: Inbox, limits: Limits):
+    def __init__(self, leg: Leg, address: Address, line: bytes, core: Core, inbox: Inbox, limits: Limits, places: Semaphore):
+        self.places = places            # how many may be connected or dialing at once
         self.leg, self.address, self.opening = leg, address, line
         self.core, self.inbox, self.limits = core, inbox, limits
         self.client, self.told = leg.session.link, Told()
@@ -37,9 +38,18 @@
         self.verdict.acquire()
 
     def run(self) -> None:
-        sock = self.dial()
-        if sock is None:
+        # Guards the list's descriptor, and others', against dials that were dropped and still wait.
+        if not self.places.acquire(timeout=self.limits.dial / SECOND):
+            self.end(Outcome.MOOT)
             return
+        try:
+            sock = self.dial()
+            if sock is not None:
+                self.speak(sock)
+        finally:
+            self.places.release()
+
+    def speak(self, sock: socket.socket) -> None:
         self.link = Link(sock, self.limits)
         try:
             if not self.send_opening():
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -49,6 +49,7 @@
         self.core.listed(self.clock(), ListForm.CACHED, entries)
         asked = config.settings.list_asked
         self.watch = Watch(config.discovery, registry, self.core, self.inbox, self.limits, asked)
+        self.places = threading.Semaphore(self.limits.flows + self.limits.links_over)
         self.prober = Prober(self.core, self.inbox, self.limits, config.load_fields)
         self.peers, self.admin, self.beside, sockets = None, None, None, []
         if shared := config.admin is not None:
@@ -216,7 +217,7 @@
     # What the core asks for.
 
     def connect(self, leg: Leg, address: Address, line: bytes) -> None:
-        leg.link = ServerLink(leg, address, line, self.core, self.inbox, self.limits)
+        leg.link = ServerLink(leg, address, line, self.core, self.inbox, self.limits, self.places)
         try:
             start_thread(leg.link.run)
         except RuntimeError as error:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from dataclasses import replace
-from threading import Event, Thread
+from threading import Event, Semaphore, Thread
 
 import pytest
 from hypothesis import given
@@ -94,6 +94,7 @@
         self.listen()
 
     def serve(self, link):
+        link.sock.settimeout(None)
         self.calls.append(time.monotonic())
         if self.well.is_set():
             link.hear()
@@ -110,8 +111,8 @@
 
 def nothing(agent, link):
     agent.met.set()
-    link.hear()
-    time.sleep(60)
+    while link.hear() not in ("", "reset"):
+        pass
 
 
 def head_alone(agent, link):
@@ -329,6 +330,47 @@
         assert client.hear() == "MOVE" and program.process.wait(5) == 0
 
 
+def test_the_list_is_called_though_clients_hold_every_place(start):
+    """All flows stand, the door is full of clients that say nothing, more wait behind it; then the watch is reset."""
+    lost = Event()
+
+    class Lost(Discovery):
+        def serve(self, link):
+            if self.paths:
+                return super().serve(link)
+            self.paths.append(link.hear().split(" ")[1])
+            assert lost.wait(20)
+            link.close()
+    servers = [Server(), Server()]
+    watched = Lost(changes(listed("s-0", servers[0].address, "terminating"), generation=9))
+    program = start(*servers, watched=watched, sockets=256, command=("/bin/sh", "-c", f"ulimit -n 256; exec {sys.executable} -m cypresswalk"))
+    standing = []
+    while (flow := program.open(f"d{len(standing)}")).hear().startswith("UP"):
+        standing.append(flow)
+    assert len(standing) == 96
+    idle = [program.connect() for _ in range(80)]
+    lost.set()
+    until_true(lambda: len(watched.paths) > 1, 6)
+    for flow in standing[:8]:
+        flow.close()
+    until_true(lambda: program.open(f"e{random.random()}").hear().startswith("UP"))
+    before = len(servers[0].openings)
+    for number in range(6):
+        assert program.open(f"f{number}").hear().startswith("UP")
+    assert len(servers[0].openings) == before       # its drain was told
+    assert "Too many open files" not in program.log.read_text()
+    for link in idle + standing:
+        link.close()
+
+
+def test_a_connect_for_which_there_is_no_place_is_known_not_to_have_run(monkeypatch):
+    crossing = Leaving(monkeypatch)
+    crossing.link.limits = replace(crossing.limits, dial=50 * MILLISECOND)
+    assert crossing.link.places.acquire(blocking=False)
+    crossing.run()
+    assert crossing.posted() == [("ended", Outcome.MOOT)] and not crossing.began.is_set()
+
+
 # Clients that leave.
 
 class Leaving:
@@ -357,7 +399,8 @@
         leg = type("Leg", (), {})()
         leg.session, leg.latest, leg.gauge = session, self.inbox.clock() + 60 * SECOND, type("G", (), {"set_up": lambda *_: None})()
         self.leg = leg
-        self.link = ServerLink(leg, self.server.getsockname(), b"OPEN a1 7 c=view,t=north,d=900\r\n", self.core, self.inbox, self.limits)
+        self.link = ServerLink(leg, self.server.getsockname(), b"OPEN a1 7 c=view,t=north,d=900\r\n", self.core, self.inbox, self.limits,
+                               Semaphore(1))
 
     def run(self):
         self.thread = Thread(target=self.link.run, daemon=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -374,6 +374,8 @@
         # A third of them for flows' clients, as many for their servers; door, probes and the rest within what is left.
         assert limits.flows >= sockets // 3
         assert 2 * limits.flows + limits.at_door + limits.kept_probes + 10 <= sockets
+        assert (2 * limits.flows + limits.at_door + limits.links_over + limits.kept_probes + limits.probes_out + limits.fixed
+                <= sockets)
     # Guards against being killed for memory: there flows are rejected before it is used up.
     short = Limits(sockets=1024, memory=32 << 20, dial=SECOND, longest=SECOND, delay_long=1)
     assert short.flows * short.flow + short.program <= short.memory and short.flows > 150
