--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -557,7 +557,7 @@
         # more go than twice what was taken (as published for clients of an overloaded service).
         erred, took = self.erred.read(now), self.setups.read(now)
         if erred > took and (flow.last is Outcome.ERROR or not flow.tried
-                             and self.draw() < (erred - took) / (erred + took + 1)):
+                             and self.draw() < min((erred - took) / (erred + took + 1), TURNED_AWAY)):
             return self.give_up(now, flow)
         server = self.pick(now, flow)
         if server is None:
@@ -915,6 +915,7 @@
 BORNE = 10 * SECOND           # thrice the time in which a server that has too much says so
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
 OTHERS = 0.75                 # of it: with it all, forty balancers at once came to a fifth over the rule
+TURNED_AWAY = 0.75            # of new flows, at most: those that go tell when it is over
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
