A connect in dial goes elsewhere once its server is told to drain

Need: nothing new to a server after the grace; a send counts from its first byte, and a dial may take 250 ms where other customers allow less grace. Seen by reading: listed() told the module alone, a leg in dial wrote its line whenever it came up (only set-down recalled such legs). Ruled out: a line half written (recall says no once it has begun). Change: one recall for both (core.py).

--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -298,6 +298,16 @@
             self.addresses[server.id] = address
         self.balancer.listed(now, form, [server for server, _ in entries])
         self.settle()
+        if form is not ListForm.DELTA or any(server.state is not State.READY for server, _ in entries):
+            self.recall(now, lambda server: server.state is not State.READY)
+
+    def recall(self, now: int, leaves: Callable[[Server], bool]) -> None:
+        """Connects in dial to such a server go elsewhere. Guards against a first line that goes out once that is told, or after
+        an operator's yes, since a dial takes its time."""
+        for session in list(self.sessions.values()):
+            leg = session.leg
+            if leg is not None and not session.standing and leaves(leg.server) and self.drivers.recall(leg):
+                self.ended(now, leg, Outcome.MOOT)
 
     def settle(self) -> None:
         # Of two processes at one door the elder says yes for both: guards against a front that hears a no in between.
@@ -587,11 +597,7 @@
     def bar(self, now: int, server: Server) -> None:
         self.balancer.taken_out(now, server)
         self.settle()
-        # Guards against a first line that goes out after the yes, since a dial takes its time.
-        for session in list(self.sessions.values()):
-            leg = session.leg
-            if leg is not None and leg.server is server and not session.standing and self.drivers.recall(leg):
-                self.ended(now, leg, Outcome.MOOT)
+        self.recall(now, lambda other: other is server)
 
     def unbar(self, now: int, server: Server) -> None:
         self.balancer.put_back(now, server)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -281,6 +281,20 @@
     assert bench.core.balancer.servers[server_number("s-0")].state is State.READY
 
 
+@pytest.mark.parametrize("order", ["drain first", "line first"])
+def test_a_connect_in_dial_when_its_server_is_told_to_drain_goes_elsewhere(order):
+    # Guards against a first line after the grace: a dial may take longer than that.
+    bench = Bench(servers=3)
+    session = bench.open(1)
+    leg = bench.sockets.out[session]
+    if order == "drain first":
+        bench.sockets.in_dial.add(leg)
+    name = next(f"s-{i}" for i in range(3) if server_number(f"s-{i}") == leg.server.id)
+    bench.tell(bench.core.listed, *bench.registry.decode({"instances": [listed(name, lifecycle="terminating")]}))
+    now_at = bench.sockets.out[session].server
+    assert (now_at is not leg.server and now_at.state is State.READY) if order == "drain first" else now_at is leg.server
+
+
 @pytest.fixture
 def start(tmp_path):
     programs = []
@@ -540,6 +554,39 @@
     sock.close()
 
 
+class Deaf(Server):
+    """Takes flows, and then reads nothing any more."""
+
+    def serve(self, link):
+        while (line := link.hear()) not in ("", "reset"):
+            if line == "PING":
+                link.say("PONG")
+            else:
+                self.openings.append(line)
+                link.say("UP r" + line.split(" ")[1])
+                Event().wait(20)
+
+
+def test_decisions_go_on_while_a_server_and_a_client_read_nothing(start):
+    talker, deaf = Server(), Deaf()
+    program, held = start(talker, deaf), []
+    while not (talker.openings and deaf.openings):
+        held.append(program.open(f"n{len(held)}"))
+        assert held[-1].hear().startswith("UP")
+    at = {line.split(" ")[1]: server for server in (talker, deaf) for line in server.openings}
+    stuck = [next(link for number, link in enumerate(held) if at[f"n{number}"] is server) for server in (talker, deaf)]
+    stuck[0].say("STREAM")              # its client reads none of it
+    stuck[1].sock.settimeout(0.5)
+    with pytest.raises(TimeoutError):
+        while True:                     # its server reads none of it
+            stuck[1].sock.sendall(b"M " + b"x" * 1000 + b"\r\n")
+    for number in range(20):
+        began = time.monotonic()
+        assert program.open(f"o{number}").hear().startswith("UP") and time.monotonic() - began < 1
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(5) == 0
+
+
 def test_short_of_descriptors_no_server_is_blamed(monkeypatch):
     crossing = Leaving(monkeypatch)
 
