A cold server's part falls with what is denied, not with flows that are on their way

Ruled out: the load of the machine (fails alone as well). Line: deal(), came against setups. Change: connects that came to nothing and flows given up count, not arrivals.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -131,8 +131,8 @@
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
         self.borne, self.next_borne = Decaying(30 * SECOND, now), now
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
-        # Flows that came to be placed, those that come again among them; connects answered with an error.
-        self.came, self.erred = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
+        # Connects that ended in no set-up and flows given up; connects answered with an error.
+        self.denied, self.erred = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
         self.taken = self.further = None        # counts of flows, and of connects beyond their first
         self.resettled(now, settings)
         # Half a minute: a balancer among hundreds sees a few flows in it.
@@ -286,6 +286,7 @@
         else:
             self.judge_connect(now, server, outcome, took)
             self.erred.add(now, outcome is Outcome.ERROR)
+            self.denied.add(now, outcome is not Outcome.MOOT)
             if not outcome.never_ran and flow.may_have_run is None:
                 flow.may_have_run, flow.ran_at = server, flow.sent
         flow.last, flow.server = outcome, None
@@ -592,6 +593,7 @@
     def give_up(self, now: int, flow: Flow) -> Decision:
         """The final answer, at once. A reject only where another try does no harm."""
         self.forget(flow)
+        self.denied.add(now, 1)
         harmless = (flow.may_have_run is None or flow.type.effect is Effect.REPEATABLE
                     or flow.type.effect is Effect.REFERENCED and flow.type.scope is Scope.ALL)
         if not harmless:
@@ -810,10 +812,8 @@
         by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
         though all balancers see as many flows at once as this one does. The part is what ends well here in a
         window, a flow at least: with a few flows at each of many balancers that says nothing yet, and servers
-        that had joined stood empty; less where more come than are taken, since then all are pressed alike. A
-        key that makes up more of the flows here than the server of the fleet is let in that much less; one
-        flow of it says nothing."""
-        self.came.add(now, 1)
+        that had joined stood empty; less where many are denied, since all are pressed alike then. A key that
+        makes up more of the flows here than the server of the fleet is let in less; one says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         if not cold or now < self.dealt_until:
             return
@@ -827,7 +827,7 @@
             budget = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL)
             part = min(max(budget - server.dealt.read(now), 0.0), 1.0)
             server.dealt.add(now, part)
-            part *= min((self.setups.read(now) + 1) / (self.came.read(now) + 1), 1.0)
+            part /= 1 + self.denied.read(now) / (self.setups.read(now) + 1)
             share = server.weight / max(fleet, server.weight)
             # Where their own servers are full all flows get here, not a share of them.
             part *= 1.0 if server in homes else max(share, OTHERS / max(usual, LEAST_USUAL))
