Pressure lessens the one flow of thin balancers alone

Line: deal(), the division by what is denied held for all. Change: it holds where the flow at least is in use. Model and module tests pass (87).

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -812,7 +812,7 @@
         by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
         though all balancers see as many flows at once as this one does. The part is what ends well here in a
         window, a flow at least: with a few flows at each of many balancers that says nothing yet, and servers
-        that had joined stood empty; less where many are denied, since all are pressed alike then. A key that
+        that had joined stood empty; and that flow less where many are denied: all are pressed then. A key that
         makes up more of the flows here than the server of the fleet is let in less; one says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         if not cold or now < self.dealt_until:
@@ -827,7 +827,7 @@
             budget = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL)
             part = min(max(budget - server.dealt.read(now), 0.0), 1.0)
             server.dealt.add(now, part)
-            part /= 1 + self.denied.read(now) / (self.setups.read(now) + 1)
+            part /= 1 + (usual < LEAST_USUAL) * self.denied.read(now) / (self.setups.read(now) + 1)
             share = server.weight / max(fleet, server.weight)
             # Where their own servers are full all flows get here, not a share of them.
             part *= 1.0 if server in homes else max(share, OTHERS / max(usual, LEAST_USUAL))
