Watches that tests begin end with them: they starved later tests of descriptors

Ruled out: the program (its own processes are counted apart), the tests' listeners (one descriptor each, some 200 in all). Lines at fault: tests/test_crossings.py runs programs and watches in its own process and left their watches calling; each call made a thread of test_sockets.Discovery that never ended. Change: every watch a test of crossings makes is ended with it, Discovery ends with its caller, and waits go by poll, which takes any descriptor. No test is eased.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -43,6 +43,21 @@
 SEEDED = runs(derandomize=True, deadline=None, database=None)
 
 
+@pytest.fixture(autouse=True)
+def watches_end(monkeypatch):
+    """Guards the tests that follow: a watch that outlived its test called its discovery again and again, a thread and two
+    descriptors each time, up to more than `select` takes, and its failures stood in others' logs."""
+    made, make = [], Watch.__init__
+
+    def noted(self, *words, **more):
+        make(self, *words, **more)
+        made.append(self)
+    monkeypatch.setattr(Watch, "__init__", noted)
+    yield
+    for watch in made:
+        watch.end()
+
+
 def until_true(what, most=10.0):
     end = time.monotonic() + most
     while not (value := what()):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -41,6 +41,21 @@
         self.sock.close()
 
 
+def comes(sock, span) -> bool:
+    """Whether there is something to read within that many seconds. By poll: select takes no descriptor above 1023."""
+    waiting = select.poll()
+    waiting.register(sock, select.POLLIN)
+    return bool(waiting.poll(span * 1000))
+
+
+def ended(sock, span) -> bool:
+    """Whether the other side has, within that many seconds; what it still said is read away."""
+    try:
+        return comes(sock, span) and not sock.recv(4096)
+    except OSError:
+        return True
+
+
 class Listening:
     """Serves each connection by a thread of its own."""
 
@@ -113,7 +128,8 @@
                     return link.close()
                 data = line + b"\n"
                 link.sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
-            time.sleep(0.02)
+            if ended(link.sock, 0.02):
+                return link.close()
 
 
 def changes(*entries, generation=2) -> bytes:
@@ -408,7 +424,7 @@
     slow = program.connect()
     time.sleep(0.15)            # longer than `idle`: its place may be given away
     others = []
-    while len(others) < 24 and not select.select([slow.sock], [], [], 0.01)[0]:
+    while len(others) < 24 and not comes(slow.sock, 0.01):
         others.append(program.connect())        # one by one: the door is looked at as each comes
     assert slow.hear() == "BUSY"
     for _ in range(3):
