Errors everywhere turn away all but a few; flows come home no faster than new ones come

Traced over all 32 balancers: at 1.07 s each sends its flows of other zones home within 10 ms (123 moves), their return is answered ERR by every server, and 60 to 200 connects a second go on for 25 s at a store that had taken 12 a second before: 89% of flows refused though every server is sound. Ruled out: cold servers (one, empty, by then), the crash (15 s, later), messages (one delay told), a list change (first at 2.6 s). Lines at fault in choice.py: to_move() moved the first far flow of each server at once, and look() had all balancers do so in the same instant; place() took timed-out connects for taken ones (judge_connect adds them to `setups`), sent timeouts on to a further server, and let one in four go whatever came of it, which with clients that come straight back is more than the store bears.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -3,9 +3,8 @@
 How it is called: a host makes one Balancer per instance from its settings, a seed and the time, tells it what
 happens (listed, arrived, resumed, established, ended, left, silent, probed, delay_told, peer_told, woken)
 and then calls decide() until that returns None, carrying out each decision at once. Inputs only update what
-is known; all deciding is done in decide(). Times are whole nanoseconds of the host's clock.
-Where the interface stands: the types in model.py are all that a host needs. `servers` and `flows` map ids to
-objects for the host's door; nothing else in here is for the host, and nothing here knows a wire or protocol.
+is known; all deciding is done in decide(). Times are whole nanoseconds of the host's clock. The types in
+model.py are all that a host needs; `servers` and `flows` map ids to objects for its door alone.
 """
 
 import math
@@ -103,41 +102,36 @@
         self.settings = settings
         self.servers: dict[int, Server] = {}
         self.flows: dict[int, Flow] = {}
-        self.waiting: deque[Flow] = deque()
-        self.held: deque[Flow] = deque()
-        self.freed = False
-        self.stale, self.members = True, []      # the tables' servers
+        self.waiting, self.held = deque(), deque()      # flows
+        self.freed, self.stale, self.members = False, True, []      # the tables' servers
         self.tables: list[tuple[list[Server], list[Server]]] = []
         self.walks: dict[tuple[int, int], list[Server]] = {}     # their servers from a slot on
-        self.customers: Counter[int] = Counter()      # flows held, by customer
-        self.seed, self.draws = seed, 0
-        self.started = now
+        self.customers, self.keys = Counter(), Counter()     # flows held, by customer and by key
+        self.seed, self.draws, self.entered, self.started = seed, 0, 0, now
         self.dealt_until = 0                # until then no cold server is dealt anything
         self.to_ask: list[Server] = []      # probes that a flow waits for
         self.to_tell: list[tuple[Server, float]] = []
         self.probes: list[tuple[int, int, Server]] = []      # a heap, by the probe clock
-        self.entered = 0
         self.doubted: dict[Server, None] = {}      # something was heard of them: flows there may have to move
-        self.next_home, self.homing = now, False
+        self.next_home, self.homing = now, None     # the server of another zone whose next flow comes home
         # Of other zones: sound servers in a row that left a connect unanswered, and when one may try again.
         self.ways: dict[int, tuple[int, int]] = {}
-        self.next_wake = 0
+        self.next_wake = self.asks_failed = 0
         self.next_look = now          # when a server next wants a probe or gives up a flow
         self.next_ask = now if settings.list_asked else None
-        self.asks_failed = 0
         self.silenced: dict[Flow, None] = {}      # to be moved: nothing comes back on them
         # Half a minute: long enough that a burst does not pass for capacity in the cold budget.
-        self.carried = Decaying(30 * SECOND, now)
+        self.carried, self.borne = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
         # Ten seconds of set-ups: long against one set-up, short against a trouble.
-        self.borne, self.next_borne = Decaying(30 * SECOND, now), now
         self.setup_time, self.setups = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
-        # Connects that ended in no set-up and flows given up; connects answered with an error.
-        self.denied, self.erred = Decaying(10 * SECOND, now), Decaying(10 * SECOND, now)
+        # Connects that ended in no set-up and flows given up; of these errors and what they turn away; those
+        # that came up; and, while errors are most of it, when a flow goes in any case.
+        self.denied, self.erred, self.took = (Decaying(10 * SECOND, now) for _ in range(3))
+        self.next_trial = self.next_borne = now
         self.taken = self.further = None        # counts of flows, and of connects beyond their first
         self.resettled(now, settings)
         # Half a minute: a balancer among hundreds sees a few flows in it.
         self.arrivals, self.hints = Decaying(30 * SECOND, now), Decaying(30 * SECOND, now)
-        self.keys: Counter[int] = Counter()
         self.probe_time, self.probe_time_at = 0, now      # the clock that probes go by; see `probe_clock`
 
     # What has happened.
@@ -268,6 +262,7 @@
             flow.tried[-2].trial_at = now + self.jittered(TRIAL, JITTER)
         self.setup_time.add(now, took)
         self.setups.add(now, 1)
+        self.took.add(now, 1)
 
     def ended(self, now: int, flow: Flow, outcome: Outcome, final: bool, took: int) -> None:
         server = flow.server
@@ -512,10 +507,13 @@
             due = now + 1 + int((self.probes[0][0] - clock) * self.stretch(now))
         if self.settings.zone_price >= max(HOMING * self.settings.move_price, DEAR_CROSSING):
             if now >= self.next_home:
-                self.next_home, self.homing = now + SECOND, self.near_easy(now)
-                if self.homing:
-                    far = (s for s in self.servers.values() if s.zone != self.settings.zone)
-                    self.doubted.update(dict.fromkeys(far))
+                far = [s for s in self.servers.values() if s.zone != self.settings.zone for _ in s.flows]
+                # No faster than new flows come: guards servers against a fleet that comes home at once.
+                rate = min(len(far) * SECOND / HOMING_SPREAD, (self.arrivals.read(now) + 1) / 30)
+                self.next_home, self.homing = now + int(SECOND / max(rate, 1.0)), None
+                if self.draw() < rate and self.near_easy(now):
+                    self.homing = far[self.draws % len(far)]
+                    self.doubted[self.homing] = None
             due = min(due, self.next_home)
         for server in list(self.doubted):
             if now >= server.next_move:
@@ -554,11 +552,12 @@
         if flow.again and flow.grouped and all(
                 s.strain >= SHED and self.strained(now, s) for s in islice(places, CHOICES)):
             return self.give_up(now, flow)
-        # Guards what all servers stand on, as a store that each set-up asks, against many connects a flow: no
-        # more go than twice what was taken (as published for clients of an overloaded service).
-        erred, took = self.erred.read(now), self.setups.read(now)
-        if erred > took and (flow.last is Outcome.ERROR or not flow.tried
-                             and self.draw() < min((erred - took) / (erred + took + 1), TURNED_AWAY)):
+        # Guards what all servers stand on, as a store that each set-up asks, against clients that come
+        # back at once: twice what was taken goes (as published for clients of an overloaded service).
+        erred, took = self.erred.read(now) - MISSES, self.took.read(now)
+        if erred > took and (not flow.last.never_ran if flow.tried else
+                             now < self.next_trial and self.draw() < (erred - took) / (erred + took)):
+            self.erred.add(now, not flow.tried)
             return self.give_up(now, flow)
         server = self.pick(now, flow)
         if server is None:
@@ -574,6 +573,7 @@
             self.ways[server.zone] = self.ways[server.zone][0], now + self.jittered(TRIAL, JITTER)
         flow.tried.append(server)
         flow.sent = now
+        self.next_trial = now + self.jittered(TELLS_BY, JITTER)
         self.take(flow, server, server.out)
         return Connect(flow, server, self.patience(now, flow))
 
@@ -812,7 +812,7 @@
         by a chance that is dealt from this balancer's part of the budget, used or not: so the sum holds
         though all balancers see as many flows at once as this one does. The part is what ends well here in a
         window, a flow at least: with a few flows at each of many balancers that says nothing yet, and servers
-        that had joined stood empty; and that flow less where many are denied: all are pressed then. A key that
+        that had joined stood empty; and that flow less where many are denied: all are pressed. A key that
         makes up more of the flows here than the server of the fleet is let in less; one says nothing."""
         cold = [s for s in self.servers.values() if s.since and self.cold(now, s) and self.up(s)]
         if not cold or now < self.dealt_until:
@@ -827,7 +827,7 @@
             budget = s.overload_factor * self.warmed(now, server) * max(usual, LEAST_USUAL)
             part = min(max(budget - server.dealt.read(now), 0.0), 1.0)
             server.dealt.add(now, part)
-            part /= 1 + (usual < LEAST_USUAL) * self.denied.read(now) / (self.setups.read(now) + 1)
+            part /= 1 + (usual < LEAST_USUAL) * self.denied.read(now) / (self.took.read(now) + 1)
             share = server.weight / max(fleet, server.weight)
             # Where their own servers are full all flows get here, not a share of them.
             part *= 1.0 if server in homes else max(share, OTHERS / max(usual, LEAST_USUAL))
@@ -858,8 +858,8 @@
             alone = flow.grouped and server.groups[flow.key] == 1
             if self.fits(self.limit(now, server), server, flow, load - 1 - GROUP_WORK * alone, load):
                 return None      # until a further cut
-        elif self.homing and server.zone != self.settings.zone:
-            flow, pause = self.release(server), int(HOMING_SPREAD / len(server.flows))
+        elif server is self.homing:
+            self.homing, flow, pause = None, self.release(server), SHED_EVERY
         else:
             return None
         server.next_move = now + pause
@@ -914,8 +914,8 @@
 YIELDED = 1e9                 # flows: more than any budget, for longer than the process still lives
 BORNE = 10 * SECOND           # thrice the time in which a server that has too much says so
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
-OTHERS = 0.75                 # of it: with it all, forty balancers at once came to a fifth over the rule
-TURNED_AWAY = 0.75            # of new flows, at most: those that go tell when it is over
+OTHERS = 0.45                 # of it: with 0.75 one of twenty fleets of thirty balancers went over the rule at 67% load
+TELLS_BY = 3 * SECOND         # one flow in that each at a few balancers' hundred overloads nothing
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -458,9 +458,10 @@
         if flow.server is near:
             near.flows.pop(flow)
             far.flows[flow], flow.server = None, far
-        if strained:
-            ledger.balancer.delay_told(ledger.now, near, SECOND // 20)
-        ledger.pass_time(SECOND)
+        for _ in range(180):        # one flow that came in half a minute: as slowly do they go home
+            if strained:
+                ledger.balancer.delay_told(ledger.now, near, SECOND // 20)
+            ledger.pass_time(SECOND)
         assert (flow.id not in ledger.balancer.flows) is moved
 
 
--- a/tests/test_fleet_ramp.py
+++ b/tests/test_fleet_ramp.py
@@ -197,7 +197,8 @@
     return fleet
 
 
-@pytest.mark.parametrize("seed, rate, hot", [(0, 16.0, 0.1), (0, 14.0, 0.0), (1, 14.0, 0.0), (0, 14.0, 0.1), (1, 14.0, 0.1)])
+@pytest.mark.parametrize("seed, rate, hot", [(0, 16.0, 0.1), (18, 16.0, 0.1), (49, 16.0, 0.1), (0, 14.0, 0.0), (1, 14.0, 0.0),
+                                             (0, 14.0, 0.1), (1, 14.0, 0.1)])
 def test_thirty_balancers_keep_a_cold_server_within_its_budget_through_a_mass_restart(seed, rate, hot):
     # Half of the servers come cold, half of the balancers know nothing, and all that stood there comes back. Seen on
     # the operators' days: a flow a window at least from each of many balancers, while all of them had more to place than
