--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -573,7 +573,7 @@
             self.ways[server.zone] = self.ways[server.zone][0], now + self.jittered(TRIAL, JITTER)
         flow.tried.append(server)
         flow.sent = now
-        self.next_trial = now + self.jittered(TELLS_BY, JITTER)
+        self.next_trial = now + TELLS_BY
         self.take(flow, server, server.out)
         return Connect(flow, server, self.patience(now, flow))
 
@@ -914,8 +914,8 @@
 YIELDED = 1e9                 # flows: more than any budget, for longer than the process still lives
 BORNE = 10 * SECOND           # thrice the time in which a server that has too much says so
 LEAST_USUAL = 1.0             # flows a window: less than one can't be dealt
-OTHERS = 0.45                 # of it: with 0.75 one of twenty fleets of thirty balancers went over the rule at 67% load
-TELLS_BY = 3 * SECOND         # one flow in that each at a few balancers' hundred overloads nothing
+OTHERS = 0.33                 # of it: with 0.45 one fleet of 64 in the ramp model still went over the rule
+TELLS_BY = 3 * SECOND         # so seldom, hundreds of balancers together overload nothing
 STRAINED = 0.3                # of the shortest message target: the served share starts to fall
 LOAD_EASY = 0.7               # reported load that needs no care yet; capacity itself is a target missed
 CHOICES = 3                   # places of a group: with more, as servers are strained in turn, it goes to most
