Review: the throttle's parts get tests that fail without them; a time constant is read

Each of the three tests was tried against the module without its part and fails. look() had the arrivals' time constant once more as 30; it is read now, the decisions are the same to rounding.

--- a/cypresswalk/choice.py
+++ b/cypresswalk/choice.py
@@ -509,9 +509,9 @@
             if now >= self.next_home:
                 far = [s for s in self.servers.values() if s.zone != self.settings.zone for _ in s.flows]
                 # No faster than new flows come: guards servers against a fleet that comes home at once.
-                rate = min(len(far) * SECOND / HOMING_SPREAD, (self.arrivals.read(now) + 1) / 30)
-                self.next_home, self.homing = now + int(SECOND / max(rate, 1.0)), None
-                if self.draw() < rate and self.near_easy(now):
+                rate = min(len(far) / HOMING_SPREAD, (self.arrivals.read(now) + 1) / self.arrivals.tau)
+                self.next_home, self.homing = now + int(1 / max(rate, 1 / SECOND)), None
+                if self.draw() < rate * SECOND and self.near_easy(now):
                     self.homing = far[self.draws % len(far)]
                     self.doubted[self.homing] = None
             due = min(due, self.next_home)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -211,6 +211,48 @@
     assert all(flow.id not in ledger.open for flow in [ledger.arrive()] if flow.server is None)
 
 
+def test_two_errors_may_be_a_servers_own_a_third_with_nothing_taken_is_not():
+    # Guards a balancer that has just started: one error would have it turn clients away.
+    ledger = Ledger(6, max_connects=6)
+    settle(ledger)
+    flow = ledger.arrive()
+    for _ in range(2):
+        ledger.end(flow, Outcome.ERROR)
+        assert flow.server is not None
+    ledger.end(flow, Outcome.ERROR)
+    assert ledger.answers[flow.id] == "reject"
+
+
+def test_connects_that_time_out_do_not_pass_for_taken_ones_among_errors():
+    # Seen on cardiff-live, throng: a store's jam brings both, and each time-out let a further connect go.
+    ledger = Ledger(6, max_connects=6)
+    settle(ledger)
+    for outcome in (Outcome.TIMEOUT, Outcome.ERROR):
+        for _ in range(6):
+            flow = ledger.arrive()
+            while flow.id in ledger.open:
+                ledger.end(flow, outcome)
+    for outcome in (Outcome.ERROR, Outcome.TIMEOUT):
+        ledger.pass_time(4 * SECOND)        # one is sent to tell whether it is over
+        flow = ledger.arrive()
+        ledger.end(flow, outcome)
+        assert ledger.answers[flow.id] == "reject" and len(ledger.history[flow.id]) == 1
+
+
+def test_while_all_is_errors_a_flow_goes_in_any_four_seconds():
+    # Guards the end of a trouble against not being noticed: of many that are turned away none might go.
+    ledger = Ledger(6, max_connects=6)
+    settle(ledger)
+    for _ in range(10):
+        before = len(ledger.connects)
+        for _ in range(20):
+            flow = ledger.arrive()
+            while flow.id in ledger.open:
+                ledger.end(flow, Outcome.ERROR)
+            ledger.pass_time(SECOND // 5)
+        assert len(ledger.connects) > before
+
+
 def test_one_server_that_answers_with_errors_does_not_keep_flows_from_the_others():
     ledger = Ledger(6, max_connects=6)
     settle(ledger)
