A server that warms up is no last resort for a flow that it should not get

Cause: Placement._pick_from took the first server with capacity as the fallback where none is preferred, one that warms up too. A flow that its budget had admitted went there though the balancer had heard of its overload, or after a time-out there (up to four times). The fallen server is the home of one group's key. At 18.8 s 14 connects of the group from 14 balancers; set-ups time out; at 19.14 s it resets the group's flows itself; their clients come again at 20.15 to 20.26 s by 15 balancers, each of which had heard its load of 1.00 1.1 to 1.2 s before, and all 15 go there: the next place is as overloaded, the third not admitted. Fix: a server that warms up is preferred or not taken; fill() already refuses one that is overloaded or was tried. That covers each attempt. Test: seven cases of two tests fail before (all flows at 99; 3 attempts of one flow), pass after.

--- a/cypresswalk/decisions/placement.py
+++ b/cypresswalk/decisions/placement.py
@@ -177,8 +177,9 @@
         for place, server in enumerate(candidates, -len(group_stands)):
             if flow.grouped and place > PLACES and (over_mean or fallback or has_last_resort):
                 break
+            warms_up = self._warm_up.applies(now, server)
             # Being over the mean alone sends nobody to a server that warms up.
-            if over_mean and self._warm_up.applies(now, server):
+            if over_mean and warms_up:
                 continue
             at_home = server is home
             if not in_idempotency_scope(flow, server):
@@ -189,5 +190,7 @@
                 if not is_over_mean(now, server, flow, pool.servers):
                     return server, fallback
                 over_mean = over_mean or server
-            fallback = fallback or server
+            # One that warms up is no last resort: it is overloaded, fails, or was tried.
+            if not warms_up:
+                fallback = fallback or server
         return over_mean, fallback
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -1,7 +1,7 @@
 """Slow start: servers that warm up."""
 
 import pytest
-from decision_helpers import fill, fill_warming_up, settle
+from decision_helpers import fill, fill_warming_up, pass_health_checks, settle
 from helpers import SimulatedHost
 from rule_assertions import assert_within_slow_start_budget
 
@@ -73,6 +73,61 @@
     assert sum(server.id == 99 for _, server in host.attempts) <= 1
 
 
+def host_with_overloaded_home(number: int, age: int) -> tuple[SimulatedHost, int]:
+    """A host and a key whose home, 99, warms up; every server but 98, not admitted, is overloaded.
+
+    Args:
+        number: of the host among the balancers of the fleet.
+        age: nanoseconds since 99 has started.
+    """
+    host = SimulatedHost(2, instances=20)
+    settle(host)
+    host.last_id = 1_000 * number
+    warming = [Server(id=ident, started_at=host.now - age) for ident in (98, 99)]
+    host.update_endpoints(EndpointUpdate.DELTA, warming)
+    pass_health_checks(host)
+    servers = host.balancer.servers
+    servers[98].slow_start_spent.add(host.now, 99)
+    placement = host.balancer.placement
+    places = {key: placement.nearest_places(key) for key in range(1, 1000)}
+    key = next(
+        key for key in places if places[key][0] is servers[99] and servers[98] in places[key]
+    )
+    for ident in (7, 20, 99):
+        host.balancer.on_gossip(host.now, servers[ident], 1.0)
+    return host, key
+
+
+@pytest.mark.parametrize("age", [0, 2, 5, 9, 14, 19])
+def test_overloaded_server_that_warms_up_is_no_last_resort(age):
+    # Seen on herd+mass: balancers that had heard of its overload a second before sent a group's
+    # flows, one each, to the group's home that warmed up, and it fell over.
+    attempted = []
+    for number in range(20):
+        host, key = host_with_overloaded_home(number, age * SECOND)
+        host.arrive(key=key, grouped=True, returning=True)
+        attempted += [server.id for _, server in host.attempts]
+    assert len(attempted) == 20  # a warm one, overloaded too, is a last resort
+    assert 99 not in attempted
+
+
+def test_flow_is_not_sent_to_a_server_that_warms_up_twice():
+    # Seen on herd+mass: a flow whose attempt at a warming server had timed out went there again, up
+    # to four times, on a budget that had admitted it once.
+    sent = 0
+    for number in range(20):
+        host, key = host_with_overloaded_home(number, 9 * SECOND)
+        warming = host.balancer.servers[99]
+        warming.load = 0.0
+        flow = host.arrive(key=key, grouped=True, returning=True)
+        while flow.id in host.open and flow.server is not None:
+            host.end(flow, Outcome.TIMEOUT)
+        at_warming = [server for _, server in host.attempts if server is warming]
+        assert len(at_warming) <= 1
+        sent += len(at_warming)
+    assert sent > 0
+
+
 def test_server_that_warms_up_takes_what_none_else_would_within_its_budget():
     # Otherwise flows are rejected while servers that are back are idle.
     host = SimulatedHost(2)
