A leader elected within a batch of frames has its duties before the next frame

What callers saw: with a fleet, the thread of a member just elected could end (thread_failed) and begin anew a second later, without leases meanwhile. Cause: Member made its duties anew only after the batch, in on_time; a lease request behind the electing vote met those of a follower, without grants. Evidence: by reading, then a test that forces the batch: AssertionError "made with the duties once the member leads" before, passes after. Fix: on_frame looks at the leadership after each message of Raft, so every later frame of the batch, calls too, meets the right duties.

--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -268,6 +268,8 @@
                 self.forwarder.on_result(frame)
             case Message() if self.node is not None:
                 self.node.step(now, source, cast(RaftMessage, frame))
+                # The frames that follow in this batch meet the duties of what it is now.
+                self._check_leadership(now)
 
     def _on_call(self, now: int, source: str, call: Call) -> None:
         def reply(ok: bool, body: Any) -> None:
--- /dev/null
+++ b/tests/fleet/test_member.py
@@ -0,0 +1,95 @@
+"""A member of the fleet, called as the fleet's thread calls it: frames in one batch, then time."""
+
+from random import Random
+
+import pytest
+
+from cypresswalk.agreement.log import Snapshot
+from cypresswalk.agreement.messages import Member as GroupMember
+from cypresswalk.agreement.messages import RequestVoteResponse
+from cypresswalk.agreement.ready import PersistentState
+from cypresswalk.fleet.member import Member
+from cypresswalk.fleet.member_context import MemberConfig, MemberIdentity
+from cypresswalk.fleet.messages import LeaseRequest, ServerReport
+from cypresswalk.fleet.state_machine import StateMachine
+from cypresswalk.model import SECOND
+
+START = 100 * SECOND
+ELECTION_SPAN = 60 * SECOND  # within which a member without a leader campaigns
+GROUP = "fleet-1"
+
+
+class HostDouble:
+    """A process that has nothing to report."""
+
+    def settings_objection(self, settings: dict) -> str:
+        """Any settings will do."""
+        return ""
+
+    def is_ready(self) -> bool | None:
+        """Flows would be placed."""
+        return True
+
+    def flow_counts(self) -> tuple[int, int, int, int]:
+        """No flow came."""
+        return 0, 0, 0, 0
+
+    def server_report(self) -> ServerReport:
+        """Nothing of servers."""
+        return ServerReport()
+
+    def wall_ms(self) -> int:
+        """A time."""
+        return 0
+
+
+def carry_out(member: Member, now: int) -> None:
+    """Writes what the member asks for; its messages are lost."""
+    while (effects := member.take()) is not None:
+        if effects.ready is not None:
+            member.on_written(now, effects.ready)
+            member.apply(now, effects.ready)
+
+
+@pytest.fixture
+def member() -> Member:
+    """The first of three voters of a group that has agreed on nothing yet."""
+    members = tuple(GroupMember(f"n{i}#1", True, f"127.0.0.1:{i + 1}") for i in range(3))
+    persisted = PersistentState(Snapshot(0, 1, members, StateMachine().dump()), [], 1, "")
+    config = MemberConfig(
+        fleet="fleet",
+        name="n0",
+        address="127.0.0.1:1",
+        zone="a",
+        seeds=(("n0", "127.0.0.1:1"),),
+        max_contradiction=5 * SECOND,
+    )
+    identity = MemberIdentity("n0#1", GROUP, 1)
+    return Member(config, identity, persisted, START, Random(1), HostDouble())
+
+
+def become_candidate(member: Member) -> int:
+    """Lets time pass until the member has voted for itself; returns that time."""
+    assert member.node is not None
+    for now in range(START, START + ELECTION_SPAN, SECOND // 10):
+        member.on_time(now)
+        carry_out(member, now)
+        if member.node.role.name == "PRE_CANDIDATE":
+            term = member.node.term + 1
+            member.on_frame(now, "n1#1", RequestVoteResponse(term, True, True))
+            carry_out(member, now)
+            return now
+    raise AssertionError("the member never campaigned")
+
+
+def test_lease_request_in_the_batch_that_elects_its_leader_is_taken(member):
+    # Found by reading: a leader elected by one frame met a lease request of the next without
+    # grants, and the fleet's thread ended.
+    now = become_candidate(member)
+    member.on_frame(now, "n1#1", RequestVoteResponse(member.node.term, True, False))
+    assert member.is_leader
+    member.on_frame(now, "n1#1", LeaseRequest(1, 0, "", "", -1, b"", 0))
+    member.on_time(now)
+    carry_out(member, now)
+    assert member.duties.grants is not None
+    assert "n1#1" in member.duties.acting
