A second Hello ends its connection, and Raft gets the messages of Raft alone

What callers saw: with a fleet, a member that said who it is twice ended the receiver's fleet thread (thread_failed), again each time. Cause: Hello, HelloRejected and BootstrapGroup derive from Message, and Member.on_frame passed every Message that was left to the Raft node, which reads its term. Fix: the node steps on Raft's own union of messages; the transport takes a second Hello or a HelloRejected as a malformed frame, counted as such.

--- a/cypresswalk/fleet/member.py
+++ b/cypresswalk/fleet/member.py
@@ -13,9 +13,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, cast
+from typing import Any
 
-from cypresswalk.agreement.messages import ENTRY_COMMAND, Entry, Members, Message
+from cypresswalk.agreement.messages import ENTRY_COMMAND, Entry, Members
 from cypresswalk.agreement.messages import AnyMessage as RaftMessage
 from cypresswalk.agreement.node import Node
 from cypresswalk.agreement.ready import PersistentState, Ready
@@ -266,8 +266,8 @@
                 self._on_call(now, source, frame)
             case Result():
                 self.forwarder.on_result(frame)
-            case Message() if self.node is not None:
-                self.node.step(now, source, cast(RaftMessage, frame))
+            case _ if self.node is not None and isinstance(frame, RaftMessage):
+                self.node.step(now, source, frame)
                 # The frames that follow in this batch meet the duties of what it is now.
                 self._check_leadership(now)
 
--- a/cypresswalk/fleet/transport.py
+++ b/cypresswalk/fleet/transport.py
@@ -223,6 +223,8 @@
         return None
 
     def _on_frame(self, hello: Hello, frame: AnyFrame, responses: "ToolResponses") -> None:
+        if isinstance(frame, Hello | HelloRejected):
+            raise FrameError("it said who it is already")
         self.counts["words_heard"] += 1
         while self.queued() > MAX_QUEUED_EVENTS and not self._stopping.is_set():
             time.sleep(QUEUE_FULL_PAUSE)
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -1,5 +1,6 @@
 """Frames between members: what is malformed ends the connection and has no effect."""
 
+import socket
 import struct
 from random import Random
 from zlib import crc32
@@ -98,3 +99,24 @@
     assert transport.rejection_of(hello()) is None
     assert transport.rejection_of(hello(boot=3, start_nonce=6)) is None
     assert transport.rejection_of(earlier).code == "put-back"
+
+
+def test_second_hello_ends_the_connection_and_reaches_nobody():
+    # Found by reading: it was handed on as if it were a message, and ended the fleet's thread.
+    posted = []
+    transport = Transport(
+        ("127.0.0.1", 0),
+        "f",
+        posted.append,
+        lambda: 0,
+        lambda receiver: Hello(PROTOCOL, "f", "member", "g", "a#1", 1, 1, "", receiver),
+        lambda: "g",
+    )
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname(), timeout=5)
+        ours, _ = listener.accept()
+    theirs.sendall(encode_frame(hello()) + encode_frame(hello()))
+    transport._serve(ours)
+    assert theirs.recv(1) == b""
+    assert posted == []
+    assert transport.counts["frames_odd"] == 1
--- a/tests/fleet/test_member.py
+++ b/tests/fleet/test_member.py
@@ -10,7 +10,15 @@
 from cypresswalk.agreement.ready import PersistentState
 from cypresswalk.fleet.member import Member
 from cypresswalk.fleet.member_context import MemberConfig, MemberIdentity
-from cypresswalk.fleet.messages import LeaseRequest, ServerReport
+from cypresswalk.fleet.messages import (
+    PROTOCOL,
+    AnyFrame,
+    BootstrapGroup,
+    Hello,
+    HelloRejected,
+    LeaseRequest,
+    ServerReport,
+)
 from cypresswalk.fleet.state_machine import StateMachine
 from cypresswalk.model import SECOND
 
@@ -93,3 +101,19 @@
     carry_out(member, now)
     assert member.duties.grants is not None
     assert "n1#1" in member.duties.acting
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        Hello(PROTOCOL, "fleet", "member", GROUP, "n1#1", 1, 7, "127.0.0.1:2", "n0#1"),
+        HelloRejected("fleet", "another fleet"),
+        BootstrapGroup(GROUP, ()),
+    ],
+)
+def test_frame_that_is_no_message_of_raft_never_reaches_the_raft_node(member, frame: AnyFrame):
+    # Found by reading: a second Hello on a connection reached the Raft core, which knows no such
+    # message, and the fleet's thread ended.
+    member.on_frame(START, "n1#1", frame)
+    member.on_time(START)
+    carry_out(member, START)
