fleet recover gives the folder's lock back where it refuses the folder

What callers saw: after a refusal (damaged log, nothing agreed) the folder looked used by another process for as long as the process ran. Cause: the lock was taken before the try whose finally gives it back. Evidence: by reading; the test locks the folder after the refusal: FolderLockedError in both cases before, passes after. Fix: the load stands inside the try. Other takers of the lock keep it by intention.

--- a/cypresswalk/fleet/recovery.py
+++ b/cypresswalk/fleet/recovery.py
@@ -39,9 +39,9 @@
         CommandError: the folder can't be used.
     """
     disk = DiskFolder(folder)
-    log = _load(disk, folder, fleet, name)
-    old = log.identity
     try:
+        log = _load(disk, folder, fleet, name)
+        old = log.identity
         machine = _machine_of(log.persisted)
         _give_up_group(machine.state, old.group, name, by)
         group = f"{fleet}-{uuid.uuid4().hex[:16]}"
