The log names the class of an error that has no text

What operators saw: error="" in list_failed and other lines, where CPython raises an error without arguments (TimeoutError, ConnectionResetError). Cause: the field was str(error). Evidence: by reading; two of three cases of the test failed before (error=""), pass after. Fix: describe() gives the class's name; event() uses it for each field, and three lines that format an error by themselves use it too.

--- a/cypresswalk/copies/driver.py
+++ b/cypresswalk/copies/driver.py
@@ -47,6 +47,7 @@
 from cypresswalk.copies.status import NO_VIEW, AgreedView, partition_statuses
 from cypresswalk.copies.store import RecordLog
 from cypresswalk.event_queue import take_events
+from cypresswalk.net.logs import describe
 from cypresswalk.storage.folder import Folder
 
 log = logging.getLogger(__name__)
@@ -388,7 +389,7 @@
 
     def _report_disk_error(self, error: OSError) -> None:
         """Logs an error, once while it stays the same."""
-        text = str(error.strerror or error)
+        text = error.strerror or describe(error)
         if text != self.disk_error:
             log.error("event=copies_disk_failed error=%s", text)
         self.disk_error = text
--- a/cypresswalk/fleet/driver.py
+++ b/cypresswalk/fleet/driver.py
@@ -52,6 +52,7 @@
 from cypresswalk.fleet.replica_placement import ReplicaPlacement
 from cypresswalk.fleet.tool_calls import local_status, reject_call, reply_to, take_span
 from cypresswalk.fleet.transport import STACK_SIZE, Transport
+from cypresswalk.net.logs import describe
 from cypresswalk.net.threads import start_thread
 from cypresswalk.operator import FleetTable
 
@@ -269,7 +270,7 @@
             except OSError as error:
                 # Nothing is sent after a write that failed: what it covered may be lost. All that
                 # can be read is then written anew and flushed before this member says anything.
-                self._log_problem("fleet_disk_failed", f"{error.strerror or error}")
+                self._log_problem("fleet_disk_failed", error.strerror or describe(error))
             except (LogDivergedError, UnreadableEntryError) as error:
                 self._log_problem("fleet_member_stopped", str(error))
                 backoff = MAX_FOLDER_BACKOFF
--- a/cypresswalk/fleet/transport.py
+++ b/cypresswalk/fleet/transport.py
@@ -41,6 +41,7 @@
 )
 from cypresswalk.net.accepting import accept_connections
 from cypresswalk.net.connection import timeval
+from cypresswalk.net.logs import describe
 from cypresswalk.net.threads import start_thread
 
 log = logging.getLogger(__name__)
@@ -174,7 +175,7 @@
                 sock.close()
 
     def _on_accept_failed(self, error: OSError) -> None:
-        log.warning("event=fleet_accept_failed error=%s", error)
+        log.warning("event=fleet_accept_failed error=%s", describe(error))
 
     def _serve(self, sock: socket.socket) -> None:
         try:
--- a/cypresswalk/net/logs.py
+++ b/cypresswalk/net/logs.py
@@ -53,9 +53,17 @@
         return True
 
 
+def describe(value: object) -> str:
+    """Returns a value's text; of an error without a text, the name of its class."""
+    text = str(value)
+    if not text and isinstance(value, BaseException):
+        return type(value).__name__
+    return text
+
+
 def quote(value: object) -> str:
     """Returns a field's value, in quotes if it is empty or holds a blank, `=` or the like."""
-    text = str(value)
+    text = describe(value)
     if text and all(c.isprintable() and c not in ' "=' for c in text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/tests/net/test_logs.py
+++ b/tests/net/test_logs.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import pytest
+
 from cypresswalk.net.logs import RateLimitFilter, event
 
 
@@ -23,3 +25,16 @@
 
 def test_log_values_are_quoted_where_they_hold_blanks_or_quotes():
     assert event("x", a=1, b="two words", c='q"') == 'event=x a=1 b="two words" c="q\\""'
+
+
+@pytest.mark.parametrize(
+    "error, text",
+    [
+        (TimeoutError(), "TimeoutError"),
+        (ConnectionResetError(), "ConnectionResetError"),
+        (TimeoutError("timed out"), '"timed out"'),
+    ],
+)
+def test_error_without_a_text_is_logged_by_its_class(error, text):
+    # Found by reading: CPython raises some errors without a text, and `error=` stayed empty.
+    assert event("list_failed", error=error) == f"event=list_failed error={text}"
