--- a/cypresswalk/cli/fleet/agent.py
+++ b/cypresswalk/cli/fleet/agent.py
@@ -9,7 +9,7 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller
+from cypresswalk.cli.fleet.caller import FleetCaller, pass_caller
 from cypresswalk.refusal import CommandError
 
 if TYPE_CHECKING:  # imported when the command runs, so that `--help` costs nothing
@@ -40,7 +40,7 @@
 )
 @click.option("--answers", help="A server's address, HOST:PORT, where it answers PING.")
 @click.argument("command", nargs=-1, required=True)
-@click.pass_obj
+@pass_caller
 def agent(
     caller: FleetCaller,
     member: str | None,
--- a/cypresswalk/cli/fleet/caller.py
+++ b/cypresswalk/cli/fleet/caller.py
@@ -1,7 +1,9 @@
 """What the commands of `cypresswalk fleet` share: calls to the fleet, and their answers' output."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import wraps
 from typing import Any
 
 import click
@@ -55,6 +57,57 @@
         click.echo(self.command(name, **args)["why"])
 
 
+@dataclass(frozen=True)
+class FleetOptions:
+    """Which fleet the options of the group name; looked at only once a command runs.
+
+    Attributes:
+        operator: path of an operator file, if one was named.
+        at: addresses of balancers, in place of those in the file.
+        fleet: the fleet's name, with `at`.
+        seconds: for an answer.
+    """
+
+    operator: str | None
+    at: str | None
+    fleet: str | None
+    seconds: float
+
+    def caller(self) -> FleetCaller:
+        """The caller for that fleet; raises CommandError where the options name none."""
+        if self.at:
+            if not self.fleet:
+                raise CommandError("--fleet: the fleet's name is needed with --at")
+            addresses = [part.strip() for part in self.at.split(",")]
+            return FleetCaller(addresses, self.fleet, self.seconds)
+        if not self.operator:
+            raise CommandError("--operator or --at: whom to ask")
+        return caller_from_file(self.operator, self.seconds)
+
+
+def caller_from_file(path: str, timeout: float) -> FleetCaller:
+    """The caller that an operator file names, its own balancer first. Raises CommandError."""
+    from cypresswalk import operator as operators
+
+    table = operators.read(path).fleet
+    if table is None:
+        raise CommandError(f"{path}: it has no [fleet]")
+    others = [address for address in table.first.values() if address != table.address]
+    return FleetCaller([table.address, *others], table.fleet, timeout)
+
+
+def pass_caller(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Hands a command the caller that the group's options name, as its first argument."""
+
+    @click.pass_obj
+    @wraps(command)
+    def with_caller(options: FleetOptions, *args: Any, **kwargs: Any) -> Any:
+        """Runs the command."""
+        return command(options.caller(), *args, **kwargs)
+
+    return with_caller
+
+
 def uncertain_exit(error: Exception) -> click.exceptions.Exit:
     """Says that the outcome is uncertain; the exception that ends the command."""
     click.echo(
--- a/cypresswalk/cli/fleet/group.py
+++ b/cypresswalk/cli/fleet/group.py
@@ -3,8 +3,7 @@
 import click
 
 from cypresswalk.cli.fleet import agent, members, releases, replicas, servers, settings, status
-from cypresswalk.cli.fleet.caller import FleetCaller
-from cypresswalk.refusal import CommandError
+from cypresswalk.cli.fleet.caller import FleetOptions
 
 
 @click.group()
@@ -29,27 +28,7 @@
     Exit codes: 0 done, 2 refused or no balancer could be asked, 4 no answer: the command may or may
     not come into force.
     """
-    if context.invoked_subcommand == "recover":
-        return
-    if at:
-        if not name:
-            raise CommandError("--fleet: the fleet's name is needed with --at")
-        context.obj = FleetCaller([part.strip() for part in at.split(",")], name, seconds)
-        return
-    if not operator:
-        raise CommandError("--operator or --at: whom to ask")
-    context.obj = caller_from_file(operator, seconds)
-
-
-def caller_from_file(path: str, timeout: float) -> FleetCaller:
-    """The caller that an operator file names, its own balancer first. Raises CommandError."""
-    from cypresswalk import operator as operators
-
-    table = operators.read(path).fleet
-    if table is None:
-        raise CommandError(f"{path}: it has no [fleet]")
-    others = [address for address in table.first.values() if address != table.address]
-    return FleetCaller([table.address, *others], table.fleet, timeout)
+    context.obj = FleetOptions(operator, at, name, seconds)
 
 
 COMMANDS: tuple[click.Command, ...] = (
--- a/cypresswalk/cli/fleet/members.py
+++ b/cypresswalk/cli/fleet/members.py
@@ -4,13 +4,13 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller, print_json
+from cypresswalk.cli.fleet.caller import FleetCaller, pass_caller, print_json
 
 
 @click.command()
 @click.argument("member")
 @click.option("--voter", is_flag=True, help="It becomes a voter.")
-@click.pass_obj
+@pass_caller
 def join(caller: FleetCaller, member: str, voter: bool) -> None:
     """Admits a balancer that had left, or makes one a voter."""
     caller.command("join", member=member, voter=voter)
@@ -19,7 +19,7 @@
 
 @click.command()
 @click.argument("member")
-@click.pass_obj
+@pass_caller
 def leave(caller: FleetCaller, member: str) -> None:
     """Removes a balancer from the fleet for good."""
     caller.command("leave", member=member)
@@ -29,7 +29,7 @@
 @click.command()
 @click.argument("member")
 @click.argument("other")
-@click.pass_obj
+@pass_caller
 def replace(caller: FleetCaller, member: str, other: str) -> None:
     """Makes another member a voter in place of one that is lost."""
     caller.command("replace", member=member, other=other)
--- a/cypresswalk/cli/fleet/releases.py
+++ b/cypresswalk/cli/fleet/releases.py
@@ -4,7 +4,7 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller, json_option, print_json
+from cypresswalk.cli.fleet.caller import FleetCaller, json_option, pass_caller, print_json
 from cypresswalk.refusal import CommandError
 
 
@@ -25,7 +25,7 @@
 
 @release.command("plan")
 @click.argument("file")
-@click.pass_obj
+@pass_caller
 def show_plan(caller: FleetCaller, file: str) -> None:
     """Shows which members would be changed in which waves; starts nothing."""
     name, from_version, to_version, waves, hold_s, *_ = read_plan(caller, file)
@@ -36,7 +36,7 @@
 
 @release.command()
 @click.argument("file")
-@click.pass_obj
+@pass_caller
 def start(caller: FleetCaller, file: str) -> None:
     """Starts a release, unless another is under way."""
     caller.command_and_print("release_begin", plan=read_plan(caller, file))
@@ -44,7 +44,7 @@
 
 @release.command("status")
 @json_option
-@click.pass_obj
+@pass_caller
 def show_status(caller: FleetCaller, as_json: bool) -> None:
     """Shows how far the release is, what it waits for, and what each member runs."""
     import msgspec
@@ -87,21 +87,21 @@
 
 
 @release.command()
-@click.pass_obj
+@pass_caller
 def pause(caller: FleetCaller) -> None:
     """Starts no further change until `resume`; a change under way is finished."""
     caller.command_and_print("release_pause", release=current_name(caller), on=True)
 
 
 @release.command("resume")
-@click.pass_obj
+@pass_caller
 def resume_release(caller: FleetCaller) -> None:
     """Goes on after a pause. After a halt `fleet resume` comes first."""
     caller.command_and_print("release_pause", release=current_name(caller), on=False)
 
 
 @release.command()
-@click.pass_obj
+@pass_caller
 def back(caller: FleetCaller) -> None:
     """Rolls every changed member back, within the bounds, the worst first; also while halted."""
     caller.command_and_print("release_back", release=current_name(caller))
@@ -109,14 +109,14 @@
 
 @click.command()
 @click.argument("why")
-@click.pass_obj
+@pass_caller
 def halt(caller: FleetCaller, why: str) -> None:
     """Lets nothing more go out, by any call, at any balancer, until `resume`."""
     caller.command_and_print("halt", why=why)
 
 
 @click.command()
-@click.pass_obj
+@pass_caller
 def resume(caller: FleetCaller) -> None:
     """Ends a halt."""
     caller.command_and_print("resume", halts=caller.call("status")["halts"])
--- a/cypresswalk/cli/fleet/replicas.py
+++ b/cypresswalk/cli/fleet/replicas.py
@@ -5,7 +5,13 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller, in_brackets, json_option, print_json
+from cypresswalk.cli.fleet.caller import (
+    FleetCaller,
+    in_brackets,
+    json_option,
+    pass_caller,
+    print_json,
+)
 from cypresswalk.refusal import CommandError
 
 COMPARISONS = 3  # a partition that differs each time is inconsistent
@@ -52,7 +58,7 @@
 
 
 @copies.command("check")
-@click.pass_obj
+@pass_caller
 def check(caller: FleetCaller) -> None:
     """Compares all replicas. Exit code 1 if a partition is inconsistent three times over."""
     lines: list[str] = []
@@ -93,7 +99,7 @@
 @copies.command()
 @click.argument("parts", nargs=-1, type=int, required=True)
 @click.option("--yes", is_flag=True, help="Do not ask for confirmation.")
-@click.pass_obj
+@pass_caller
 def renew(caller: FleetCaller, parts: tuple[int, ...], yes: bool) -> None:
     """Lets partitions without any replica start empty; keys reserved there may run again."""
     from cypresswalk.fleet import client
--- a/cypresswalk/cli/fleet/servers.py
+++ b/cypresswalk/cli/fleet/servers.py
@@ -5,7 +5,7 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller
+from cypresswalk.cli.fleet.caller import FleetCaller, pass_caller
 from cypresswalk.refusal import CommandError
 
 # Seconds: twice the longest contradiction time that can be configured, and an election.
@@ -36,7 +36,7 @@
     metavar="SECONDS",
     help="Wait that long for the last flow to leave the server.",
 )
-@click.pass_obj
+@pass_caller
 def down(caller: FleetCaller, ident: str, force: bool, empty: float) -> None:
     """Takes a server out at every balancer; it may be stopped once it is drained."""
     change_rotation(caller, "out", ident, forced=force)
@@ -54,14 +54,14 @@
 
 @server.command()
 @click.argument("ident")
-@click.pass_obj
+@pass_caller
 def up(caller: FleetCaller, ident: str) -> None:
     """Returns a server to rotation at every balancer."""
     change_rotation(caller, "back", ident)
 
 
 @click.command("list-anew")
-@click.pass_obj
+@pass_caller
 def list_anew(caller: FleetCaller) -> None:
     """Accepts the next list that most voters report, whatever its version."""
     caller.command("renew")
--- a/cypresswalk/cli/fleet/settings.py
+++ b/cypresswalk/cli/fleet/settings.py
@@ -6,7 +6,7 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller
+from cypresswalk.cli.fleet.caller import FleetCaller, pass_caller
 from cypresswalk.refusal import CommandError
 
 MILLISECONDS = 1000  # a second
@@ -94,7 +94,7 @@
 @click.option(
     "--on", "base", type=int, help="The version that the file was made from; default: the newest."
 )
-@click.pass_obj
+@pass_caller
 def offer(caller: FleetCaller, file: str, base: int | None) -> None:
     """Proposes settings: in force if unchanged since, and every balancer can read them."""
     values = read_settings(file)
@@ -105,7 +105,7 @@
 
 @settings.command()
 @click.option("--version", "number", type=int, help="An older version.")
-@click.pass_obj
+@pass_caller
 def show(caller: FleetCaller, number: int | None) -> None:
     """Prints the settings in force, as JSON that `offer` takes."""
     version, values = agreed_settings(caller, number)
@@ -116,7 +116,7 @@
 @settings.command()
 @click.argument("file")
 @click.option("--version", "number", type=int, help="Compare with an older version.")
-@click.pass_obj
+@pass_caller
 def diff(caller: FleetCaller, file: str, number: int | None) -> None:
     """Shows what a file would change."""
     version, values = agreed_settings(caller, number)
@@ -127,7 +127,7 @@
 
 
 @settings.command()
-@click.pass_obj
+@pass_caller
 def history(caller: FleetCaller) -> None:
     """Shows who did what when, the newest last."""
     from datetime import datetime
@@ -141,7 +141,7 @@
 
 @settings.command()
 @click.argument("version", type=int)
-@click.pass_obj
+@pass_caller
 def back(caller: FleetCaller, version: int) -> None:
     """Proposes the settings of an older version."""
     _, values = agreed_settings(caller, version)
--- a/cypresswalk/cli/fleet/status.py
+++ b/cypresswalk/cli/fleet/status.py
@@ -4,14 +4,20 @@
 
 import click
 
-from cypresswalk.cli.fleet.caller import FleetCaller, in_brackets, json_option, print_json
+from cypresswalk.cli.fleet.caller import (
+    FleetCaller,
+    in_brackets,
+    json_option,
+    pass_caller,
+    print_json,
+)
 
 MAX_HEARD_S = 2  # seconds since a member was heard, above which that is shown
 
 
 @click.command()
 @json_option
-@click.pass_obj
+@pass_caller
 def status(caller: FleetCaller, as_json: bool) -> None:
     """Members, leader, versions, leases, replication lag, and what is out."""
     body = caller.call("status")
@@ -89,7 +95,7 @@
 
 
 @click.command()
-@click.pass_obj
+@pass_caller
 def local(caller: FleetCaller) -> None:
     """The state of the balancer that is asked, without the fleet's agreement."""
     print_json(caller.call("local"))
