Upgrades under load: a line that comes twice must have an attempt that timed out

Test: test_upgrades_under_load_reject_no_client_and_migrate_the_established_ones, red under load once: 1,268 lines for 1,267 ids. Cause: the flows are repeatable (view), and an attempt unanswered for half the set-up objective is repeated at another server; on a machine that is late a server of the test, a thread of pytest, answers that late. Change: as strict as before where nothing times out; else lines beyond ids are no more than the time-outs that the processes counted. Each client still gets one answer and none is rejected. Whether the run that was seen had just this cause is not known, since its logs are gone.

--- a/tests/service/test_upgrade.py
+++ b/tests/service/test_upgrade.py
@@ -31,6 +31,7 @@
 from cypresswalk.net.inbox import Inbox
 
 STOP_TIMEOUT = 4  # seconds for a stopped process to end
+ATTEMPT_TIMEOUT = 0.7  # seconds; a balancer has given up an attempt by then
 
 
 class UpgradedProgram:
@@ -66,6 +67,15 @@
         wait_until(lambda: is_ready(operator))
         return process, operator
 
+    def attempts_timed_out(self) -> int:
+        """How many attempts timed out, at all processes; the last of them still runs."""
+        self.processes[-1].send_signal(signal.SIGUSR1)
+        logs = [self.program.log]
+        logs += [self.folder / f"log{number + 1}" for number in range(self.started)]
+        wait_until(lambda: "event=counters" in logs[-1].read_text())
+        last_lines = [counter_lines(log.read_text())[-1] for log in logs]
+        return sum(counter_value(line, "connects_timeout") for line in last_lines)
+
     def end(self) -> None:
         """Kills all processes."""
         for process in self.processes:
@@ -73,6 +83,17 @@
             process.wait()
 
 
+def counter_lines(log: str) -> list[str]:
+    """The lines of a log that hold the process's counters."""
+    return [line for line in log.splitlines() if "event=counters" in line or "event=end" in line]
+
+
+def counter_value(line: str, name: str) -> int:
+    """A counter's value; one that is 0 is left out of the line."""
+    fields = dict(field.split("=", 1) for field in line.split() if "=" in field)
+    return int(fields.get(name, 0))
+
+
 def is_ready(operator: OperatorClient) -> bool:
     """Whether the process answers that it is ready."""
     try:
@@ -174,11 +195,38 @@
     assert {client.read_line() for client in clients.established[:established_before]} == {"MOVE"}
     assert len(servers[0].open_lines) == sent_before  # out of rotation over both upgrades
     ids = [line.split(" ")[1] for server in servers for line in server.open_lines]
-    assert len(ids) == len(set(ids))
+    # Seen under load: 1,268 lines for 1,267 ids. These flows may be repeated, and one whose attempt
+    # timed out is: nothing else sends a line twice.
+    assert len(ids) - len(set(ids)) <= upgraded.attempts_timed_out()
     for client in clients.established:
         client.close()
 
 
+class SlowOnceServer(ServerDouble):
+    """Answers its first flow once its balancer has given the attempt up."""
+
+    def respond_to_open(self, client: LineConnection, line: str) -> bool:
+        """Answers a flow's first line."""
+        if not self.open_lines:
+            self.open_lines.append(line)
+            time.sleep(ATTEMPT_TIMEOUT)
+            return False
+        return super().respond_to_open(client, line)
+
+
+def test_repeat_after_a_time_out_is_counted_as_the_upgrade_test_expects(start_upgradable):
+    # The trace behind that test's bound: a line comes twice where an attempt timed out, and is
+    # counted.
+    servers = [SlowOnceServer() for _ in range(2)]
+    upgraded, _ = start_upgradable(*servers, sockets=512)
+    clients = [upgraded.program.open(f"i{number}") for number in range(20)]
+    assert {client.read_line().split(" ")[0] for client in clients} == {"UP"}
+    ids = [line.split(" ")[1] for server in servers for line in server.open_lines]
+    assert 0 < len(ids) - len(set(ids)) <= upgraded.attempts_timed_out()
+    for client in clients:
+        client.close()
+
+
 def test_process_that_is_killed_leaves_the_other_serving(start_upgradable):
     upgraded, operator = start_upgradable(ServerDouble(), ServerDouble())
     program = upgraded.program
