Tests: no port of a program is given twice, nor from the system's own range

Cause: a free port was found by binding to port 0 and closing again, so two workers could be given one port. Programs that take operators' calls share their clients' port (SO_REUSEPORT), so both start; the ping that says "ready" is then answered by the other test's program while one's own does not listen for operators yet. The backlog of the listener, asked first, does not refuse: Linux drops what it has no room for. Change: ports come from a range of the worker's own below the system's ephemeral ports, one after another. No check changes. The run that was seen has left no logs, so that it had this cause is not proven.

--- a/tests/program_helpers.py
+++ b/tests/program_helpers.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from enum import StrEnum
 from pathlib import Path
 from threading import Thread
@@ -30,13 +31,41 @@
 
 END = ""  # what `LineConnection.read_line` returns at the end of a connection
 RESET = "reset"  # what it returns at a reset
+FIRST_PORT = 12_000  # the system's own begin at 32,768
+PORTS_PER_WORKER = 1_000
+MAX_WORKERS = 20
 LINGER_ZERO = b"\1\0\0\0\0\0\0\0"  # SO_LINGER on, for 0 s: the close sends a reset
 
 
+class PortRange:
+    """Ports for programs that a test starts, none given twice.
+
+    They lie below those that the system gives to outgoing connections, and each worker of pytest
+    has its own: otherwise a port is another's by the time at which its program listens there.
+    """
+
+    def __init__(self, worker: str):
+        """The range of a worker, by its name: gw0, gw1 and so on; empty without workers."""
+        number = int(worker.removeprefix("gw") or 0) % MAX_WORKERS
+        self._first = FIRST_PORT + number * PORTS_PER_WORKER
+        self._offset = os.getpid() % PORTS_PER_WORKER  # runs beside this one begin elsewhere
+
+    def take(self) -> int:
+        """The next port on which nothing listens."""
+        for _ in range(PORTS_PER_WORKER):
+            self._offset = (self._offset + 1) % PORTS_PER_WORKER
+            port = self._first + self._offset
+            with suppress(OSError), socket.create_server((LOOPBACK, port)):
+                return port
+        raise AssertionError("no port is free")
+
+
+PORTS = PortRange(os.environ.get("PYTEST_XDIST_WORKER", ""))
+
+
 def free_port() -> int:
-    """A port of this machine on which nothing listens."""
-    with socket.create_server((LOOPBACK, 0)) as free:
-        return free.getsockname()[1]
+    """A port of this machine on which nothing listens, and that no other test is given."""
+    return PORTS.take()
 
 
 def address_of(sock: socket.socket) -> str:
