A call that is confirmed late is applied again after an older state

What callers saw: set-down or drain-on at a successor, answered "done here; ... not confirmed" after 0.5 s, was undone by the predecessor's state that had been written before it: a server out by hand got new flows. Cause: _on_confirmation_late forgot the call, so _repeat_unconfirmed_commands did not know it when the state came. Fix: the call stays noted until confirmed or the other process ends, and is marked as replied to, so that its operator hears one answer.

--- a/cypresswalk/net/handover.py
+++ b/cypresswalk/net/handover.py
@@ -56,6 +56,7 @@
 
     command: AdminCommand
     reason: str | None  # why it did not take effect here
+    replied: bool = False  # the operator has been told that it is not confirmed
 
 
 class Handover:
@@ -230,10 +231,16 @@
         reason = entry.reason
         if reason is not None and peer_reason is None and self.peer is not None:
             reason = self.core.commands.apply(now, entry.command, forwarded=True, known=True)
-        self.core.commands.reply(entry.command, reason if reason is not None else peer_reason)
+        if not entry.replied:
+            self.core.commands.reply(entry.command, reason if reason is not None else peer_reason)
 
     def _on_confirmation_late(self, now: int, number: int) -> None:
-        if number in self.unconfirmed:
-            entry = self.unconfirmed.pop(number)
+        """Replies without the confirmation.
+
+        The command stays noted: a state that the other wrote before it may still come.
+        """
+        entry = self.unconfirmed.get(number)
+        if entry is not None:
+            entry.replied = True
             reason = entry.reason or "done here; the other process has not confirmed it"
             self.core.commands.reply(entry.command, reason)
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -126,6 +126,26 @@
     assert predecessor.accepting
 
 
+@pytest.mark.parametrize("name", ["set-down", "drain-on"])
+def test_call_that_is_confirmed_late_is_not_undone_by_a_state_that_was_on_its_way(name):
+    # Found by reading: after half a second the call was answered as done here and forgotten, and
+    # the predecessor's state, older than the call, put the server back into rotation.
+    predecessor = HandoverProcess()
+    successor = HandoverProcess(predecessor)
+    assert successor.state_is_on_its_way()
+    command = (name, "s-0") if name == "set-down" else (name,)
+    call = successor.call(*command)
+    successor.pass_time(SECOND)
+    assert reply_of(call) == "ERR"  # done here, not confirmed there
+    successor.exchange_all()
+    assert reply_of(call) is None  # no second reply
+    for process in (predecessor, successor):
+        if name == "set-down":
+            assert process.server("s-0").out_of_rotation
+        else:
+            assert process.core.lifecycle.drained
+
+
 def upgraded_at_the_second_try() -> tuple[HandoverProcess, HandoverProcess]:
     """A process and its successor; an earlier successor ended before it accepted clients."""
     predecessor, _ = upgraded()
