cypresswalk lab soak: random plans with real processes, one verdict a seed

Change: a plan drawn from the seed alone (planned stops with series of signals round SIGTERM, resting clients that use a connection until it ends, crowds, faults of servers and of the list) over the lab's test bed and checker; new judgements beyond the checker: flows unanswered at a planned stop, faults in logs, descriptors; the lab's kind "signals", resting clients and a crowd.

--- a/cypresswalk/cli/lab/group.py
+++ b/cypresswalk/cli/lab/group.py
@@ -2,7 +2,7 @@
 
 import click
 
-from cypresswalk.cli.lab import experiments, fleets
+from cypresswalk.cli.lab import experiments, fleets, soak
 
 
 @click.group()
@@ -23,6 +23,7 @@
     fleets.explore,
     fleets.releases,
     fleets.together,
+    soak.soak,
 )
 for command in COMMANDS:
     lab.add_command(command)
--- /dev/null
+++ b/cypresswalk/cli/lab/soak.py
@@ -0,0 +1,109 @@
+"""`cypresswalk lab soak`: random plans with real processes, one verdict a seed."""
+
+from __future__ import annotations
+
+import os
+import re
+import sys
+from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+from cypresswalk.cli.lab.exit_codes import BROKEN, VOID
+from cypresswalk.refusal import CommandError
+
+if TYPE_CHECKING:  # imported when a command runs, so that `--help` costs nothing
+    from cypresswalk.lab.soak import SeedVerdict
+
+MAX_SEEDS = 10_000
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Return the seeds of a range `A-B`, or of one seed `A`; raises CommandError."""
+    match = re.fullmatch(r"(\d{1,9})(?:-(\d{1,9}))?", text)
+    if match is None:
+        raise CommandError(f"--seeds: {text!r} is no range such as 1-50")
+    first = int(match[1])
+    last = int(match[2] or first)
+    if not first <= last < first + MAX_SEEDS:
+        raise CommandError(f"--seeds: {text!r} holds 1 to {MAX_SEEDS} seeds, the lower one first")
+    return list(range(first, last + 1))
+
+
+def prepare_folder(folder: Path) -> None:
+    """Make the folder if it is not there; raises CommandError where nothing can be written."""
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise CommandError(f"--out: {folder}: {error.strerror}") from error
+    if not os.access(folder, os.W_OK):
+        raise CommandError(f"--out: {folder}: it can't be written")
+
+
+def play_all(seeds: list[int], folder: Path, jobs: int) -> list[SeedVerdict]:
+    """Play the seeds, `jobs` at a time, a void one once more; return the verdicts in order."""
+    from cypresswalk.lab.soak import play_seed
+
+    verdicts: dict[int, SeedVerdict] = {}
+    repeated: set[int] = set()
+    with (
+        ProcessPoolExecutor(jobs) as pool,
+        click.progressbar(length=len(seeds), label="seeds", file=sys.stderr) as bar,
+    ):
+        running = {pool.submit(play_seed, seed, folder / f"seed-{seed}"): seed for seed in seeds}
+        try:
+            while running:
+                done, _ = wait(running, return_when=FIRST_COMPLETED)
+                for future in done:
+                    seed, verdict = running.pop(future), future.result()
+                    if verdict.void and seed not in repeated:
+                        repeated.add(seed)
+                        running[pool.submit(play_seed, seed, folder / f"seed-{seed}")] = seed
+                        continue
+                    verdicts[seed] = verdict
+                    bar.update(1)
+        except BaseException:
+            pool.shutdown(wait=False, cancel_futures=True)
+            click.echo(table_of(list(verdicts.values())))
+            raise
+    return [verdicts[seed] for seed in seeds]
+
+
+def table_of(verdicts: list[SeedVerdict]) -> str:
+    """Return a table of seeds."""
+    rows = ["| seed | flows | verdict |", "| --- | --- | --- |"]
+    for verdict in verdicts:
+        said = verdict.void or (f"{len(verdict.findings)} findings" if verdict.findings else "held")
+        rows.append(f"| {verdict.seed} | {verdict.flows} | {said} |")
+    return "\n".join(rows)
+
+
+@click.command()
+@click.option("--seeds", required=True, help="A range such as 1-50, or one seed.")
+@click.option(
+    "--jobs",
+    type=click.IntRange(1, 64),
+    default=1,
+    show_default=True,
+    help="Seeds in parallel; each needs two or three cores.",
+)
+@click.option(
+    "--out", type=click.Path(path_type=Path), default=Path("lab-out/soak"), show_default=True
+)
+def soak(seeds: str, jobs: int, out: Path) -> int:
+    """Plays random plans with real processes and checks the rules."""
+    wanted = parse_seeds(seeds)
+    prepare_folder(out)
+    verdicts = play_all(wanted, out, jobs)
+    click.echo(table_of(verdicts))
+    failed = [verdict for verdict in verdicts if verdict.findings and not verdict.void]
+    for verdict in failed:
+        for finding in verdict.findings:
+            click.echo(f"seed {verdict.seed}: {finding}")
+        click.echo(f"    cypresswalk lab soak --seeds {verdict.seed} --out {out}")
+        click.echo(f"    plan, logs and observations: {out / f'seed-{verdict.seed}'}")
+    if failed:
+        return BROKEN
+    return VOID if all(verdict.void for verdict in verdicts) else 0
--- a/cypresswalk/lab/balancer_control.py
+++ b/cypresswalk/lab/balancer_control.py
@@ -7,7 +7,7 @@
 
 from cypresswalk.lab.balancers import Balancer, known
 from cypresswalk.lab.endpoint_list import ListAgent
-from cypresswalk.lab.experiment import Variant
+from cypresswalk.lab.experiment import SignalName, Variant
 from cypresswalk.lab.rules import Violation
 from cypresswalk.lab.testbed.bed import Bed
 from cypresswalk.lab.testbed.gossip_relay import GossipRelay
@@ -27,6 +27,12 @@
 KILL_AFTER_TIMEOUT_S = 0.7
 EXIT_CHECK_INTERVAL_S = 0.02
 MAX_PLANNED_DOWN_S = 1.0
+MAX_SIGNAL_PAUSE_S = 0.05
+SIGNALS: dict[SignalName, signal.Signals] = {
+    "HUP": signal.SIGHUP,
+    "TERM": signal.SIGTERM,
+    "USR1": signal.SIGUSR1,
+}
 
 Sample = tuple[float, str, int, int, float]
 
@@ -204,13 +210,21 @@
         self.start(name)
         await self.wait_until_ready(name)
 
+    async def signal(self, name: str, names: list[SignalName]) -> None:
+        """Send a balancer signals, one soon after the other, while its listening socket exists."""
+        for signal_name in names:
+            if await listens(self.balancers[name]):
+                self.balancers[name].send(SIGNALS[signal_name])
+            await asyncio.sleep(self.random.uniform(0, MAX_SIGNAL_PAUSE_S))
+
     async def reload(self, name: str) -> None:
         """Move a balancer's list to a new address that knows less, and send SIGHUP."""
         old = self.agents[name]
         await self._new_agent(name, max(old.agent.version - 1, 1))
         self.bed.spawn(self.agents[name].learn(len(self.bed.listing.changes)))
         self._write_configuration(name)
-        self.balancers[name].send(signal.SIGHUP)
+        if await listens(self.balancers[name]):  # else it reads the new file at its start
+            self.balancers[name].send(signal.SIGHUP)
         await old.retire()
 
     async def _new_agent(self, name: str, version: int) -> None:
@@ -229,6 +243,16 @@
         self.balancers[name].write(driver.address, known(agent, entries), seed)
 
 
+async def listens(balancer: Balancer) -> bool:
+    """Return whether a balancer's listening socket exists: signals are handled from then on."""
+    try:
+        _, writer = await asyncio.open_connection(*balancer.address)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def answers_ping(balancer: Balancer) -> bool:
     """Return whether a balancer answers PING now."""
     try:
--- a/cypresswalk/lab/experiment.py
+++ b/cypresswalk/lab/experiment.py
@@ -109,6 +109,8 @@
         groups: Number of groups of connections; 0 for none.
         line_ms: Between two lines on a connection.
         bad_per_s: Misbehaving clients a second: garbage, silence, half lines, floods, repeated ids.
+        resting: Clients of each balancer that keep one connection open and use it until it ends.
+        crowd: Clients of each balancer that connect and say nothing.
     """
 
     after_rejection: Literal["none", "at once", "wait"] = Field(default="wait", alias="habit")
@@ -121,6 +123,8 @@
     groups: int = Field(default=20, ge=0)
     line_ms: float = Field(default=500, ge=20)
     bad_per_s: float = Field(default=0.0, ge=0)
+    resting: int = Field(default=0, ge=0, le=1000)
+    crowd: int = Field(default=0, ge=0, le=5000)
     _ordered = field_validator("wait_ms", "reconnect_ms")(ordered)
 
 
@@ -194,7 +198,7 @@
     "drain",
     "restart",
 )
-BALANCER_FAULTS = ("balancer_kill", "balancer_stop", "reload")
+BALANCER_FAULTS = ("balancer_kill", "balancer_stop", "reload", "signals")
 FAULTS_WITH_AMOUNT = ("slow", "neighbour", "errors", "resets", "cut_clients", "burst", "grow")
 FAULTS_WITH_SHARE = ("neighbour", "errors", "resets", "cut_clients")
 FaultKind = Literal[
@@ -213,9 +217,11 @@
     "balancer_kill",
     "balancer_stop",
     "reload",
+    "signals",
     "cut_clients",
     "burst",
 ]
+SignalName = Literal["HUP", "TERM", "USR1"]
 
 
 class ScheduledFault(toml.Table):
@@ -229,6 +235,7 @@
     Attributes:
         at_s: When it begins.
         for_s: How long it lasts; 0: to the scenario's end. Of drains: until the server is gone.
+        signals: Of `signals`: sent one after the other, each up to 50 ms after the one before.
     """
 
     kind: FaultKind
@@ -237,6 +244,7 @@
     servers: list[str] = []
     balancers: list[str] = []
     amount: float = Field(default=0, ge=0)
+    signals: list[SignalName] = []
 
     @model_validator(mode="after")
     def _complete(self) -> "ScheduledFault":
@@ -244,6 +252,8 @@
             raise ValueError(f"{self.kind} needs servers")
         if self.kind in BALANCER_FAULTS and not self.balancers:
             raise ValueError(f"{self.kind} needs balancers")
+        if (self.kind == "signals") != bool(self.signals):
+            raise ValueError("signals: the kind signals needs them, and no other has them")
         if self.kind in FAULTS_WITH_AMOUNT and not self.amount:
             raise ValueError(f"{self.kind} needs an amount above 0")
         if self.kind in FAULTS_WITH_SHARE and self.amount > 1:
--- a/cypresswalk/lab/fault_injector.py
+++ b/cypresswalk/lab/fault_injector.py
@@ -74,6 +74,8 @@
             await asyncio.gather(*(self.control.stop(name, span_s) for name in names))
         elif fault.kind == "reload":
             await asyncio.gather(*(self.control.reload(name) for name in names))
+        elif fault.kind == "signals":
+            await asyncio.gather(*(self.control.signal(name, fault.signals) for name in names))
 
     def _matching(self, names: list[str]) -> list[ServerDriver]:
         return [self.servers[name] for name in matching_servers(self.bed.experiment, names)]
--- a/cypresswalk/lab/play.py
+++ b/cypresswalk/lab/play.py
@@ -15,6 +15,7 @@
 from cypresswalk.lab.testbed.bed import Bed
 from cypresswalk.lab.testbed.client_driver import ClientDriver
 from cypresswalk.lab.testbed.misbehaving_clients import misbehave
+from cypresswalk.lab.testbed.resting_clients import RestingClients
 from cypresswalk.lab.testbed.server_driver import ServerDriver
 from cypresswalk.lab.units import MILLISECOND, SECOND
 
@@ -95,6 +96,9 @@
         self.result.began = began
         for client in bed.clients.all():
             bed.spawn(self.clients.run(client, began))
+        resting = RestingClients(bed, self.clients)
+        for name in bed.balancers:
+            bed.spawn(resting.run(name, began))
         for number, (at, misbehaviour, zone) in enumerate(bed.clients.misbehaving()):
             work = misbehave(bed, self.clients, misbehaviour, zone, number)
             bed.spawn(self._run_at(began + at, work))
--- /dev/null
+++ b/cypresswalk/lab/soak.py
@@ -0,0 +1,146 @@
+"""A soak: random plans, each played with real processes and judged.
+
+A seed fails if a rule was broken, a balancer crashed, logged a fault of its own, went over its
+descriptors, or left a flow without an answer at a planned stop.
+"""
+
+import json
+import re
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from cypresswalk.lab.experiment import Experiment
+from cypresswalk.lab.observations import Observation
+from cypresswalk.lab.play import play_scenario
+from cypresswalk.lab.result import ScenarioResult
+from cypresswalk.lab.soak_plan import soak_experiment, soak_table
+from cypresswalk.lab.units import SECOND
+
+FAULT_IN_LOG = re.compile(r"Traceback|event=(fault|thread_failed)\b")
+MAX_SHOWN_FINDINGS = 20
+
+
+@dataclass(slots=True)
+class SeedVerdict:
+    """What came of one seed.
+
+    Attributes:
+        seed: The seed.
+        findings: What was broken, the worst first; none if all held.
+        void: Why the play says nothing; empty if it does.
+        flows: How many flows were sent.
+    """
+
+    seed: int
+    findings: list[str]
+    void: str
+    flows: int
+
+
+def play_seed(seed: int, folder: Path) -> SeedVerdict:
+    """Play a seed's plan and judge it; plan, logs, observations and findings are in the folder.
+
+    Raises:
+        CommandError: A balancer does not start.
+    """
+    experiment = soak_experiment(seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "plan.json").write_text(json.dumps(soak_table(seed), indent=1))
+    result = play_scenario(experiment, experiment.variants[0], seed, folder)
+    repeated = repeated_beyond_memory(result.events)
+    findings = [
+        *(breach for breach in result.breaches if not names_flow(breach, repeated)),
+        *unanswered_at_stops(result.events),
+        *faults_logged(folder),
+        *descriptors_beyond(experiment, result),
+    ]
+    flows = sum(event.kind == "sent" for event in result.events)
+    verdict = SeedVerdict(seed, findings[:MAX_SHOWN_FINDINGS], result.void, flows)
+    (folder / "verdict.json").write_text(json.dumps(asdict(verdict), indent=1))
+    return verdict
+
+
+def repeated_beyond_memory(events: Iterable[Observation]) -> set[str]:
+    """Return ids that a bad client said again to a process that could not know them.
+
+    That is another balancer than the first, or one that has started since (docs/ROADMAP.md).
+    """
+    first: dict[str, Observation] = {}
+    started_at: dict[str, int] = {}
+    repeated = set()
+    for event in events:
+        if event.kind == "sent":
+            first[event.flow] = event
+        elif event.kind == "balancer_up":
+            started_at[event.subject] = event.at
+        elif event.kind == "said_again" and event.flow in first:
+            sent = first[event.flow]
+            restarted = started_at.get(event.subject, 0) > sent.at
+            if event.subject != sent.subject or restarted:
+                repeated.add(event.flow)
+    return repeated
+
+
+def names_flow(breach: str, flows: set[str]) -> bool:
+    """Return whether a violation's text is of one of the flows."""
+    words = breach.split(" at ", 1)[0].rsplit(": ", 1)
+    return words[-1] in flows
+
+
+def unanswered_at_stops(events: Iterable[Observation]) -> list[str]:
+    """Return flows that a balancer was sent during a planned stop and did not answer.
+
+    The checker excuses what a balancer's end cuts off; a planned stop excuses nothing, since
+    SIGKILL comes after the longest timeout.
+    """
+    sent: dict[str, Observation] = {}
+    settled: set[str] = set()
+    ended: dict[str, Observation] = {}
+    stops: defaultdict[str, list[int]] = defaultdict(list)
+    scenario_end = 0
+    for event in events:
+        match event.kind:
+            case "sent":
+                sent[event.flow] = event
+            case "answer" | "left":
+                settled.add(event.flow)
+            case "ended" | "waited":
+                ended.setdefault(event.flow, event)
+            case "balancer_down" if event.fields.get("planned"):
+                stops[event.subject].append(event.at)
+            case "day_ended":
+                scenario_end = event.at
+    findings = []
+    for flow, event in sent.items():
+        over = ended.get(flow)
+        if flow in settled or over is None or over.at > scenario_end:
+            continue
+        if any(event.at <= stop <= over.at + SECOND for stop in stops[event.subject]):
+            findings.append(
+                f"one answer: {flow} at {event.at / SECOND:.3f} s: sent to {event.subject}, which "
+                f"was stopped by plan, and not answered ({over.kind} {over.fields.get('how', '')})"
+            )
+    return findings
+
+
+def faults_logged(folder: Path) -> list[str]:
+    """Return the lines in which a balancer logged a fault of its own."""
+    return [
+        f"{path.name}: {line[:300]}"
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if FAULT_IN_LOG.search(line)
+    ]
+
+
+def descriptors_beyond(experiment: Experiment, result: ScenarioResult) -> list[str]:
+    """Return the first sample of each balancer that held more descriptors than it may."""
+    groups = dict(zip(experiment.balancer_names(), experiment.balancer_groups(), strict=True))
+    found: dict[str, str] = {}
+    for second, name, _, descriptors, _ in result.samples:
+        if descriptors > groups[name].sockets:
+            text = f"{name} held {descriptors} descriptors at {second:.1f} s"
+            found.setdefault(name, f"{text}, {groups[name].sockets} are allowed")
+    return list(found.values())
--- /dev/null
+++ b/cypresswalk/lab/soak_plan.py
@@ -0,0 +1,127 @@
+"""Random plans of a soak: an experiment drawn from a seed alone (docs/design/soak.md)."""
+
+from random import Random
+from typing import Any
+
+from cypresswalk import toml
+from cypresswalk.lab.experiment import Experiment
+
+SECONDS = 16.0
+FIRST_FAULT_S = 2.0
+LAST_FAULT_S = 10.0  # so that its consequences end before the scenario does
+STOP_LASTS_S = 6.0  # SIGTERM to serving again, at the most
+MAX_OUTAGE_S = 4.0
+CROWD_PROBABILITY = 0.3
+GOSSIP_PROBABILITY = 0.5
+POLLED_PROBABILITY = 0.3
+# Around SIGTERM: when each series of signals begins, in seconds from it.
+SERIES_OFFSETS_S = (-0.05, 0.0, 0.01, 0.2, 1.0)
+SERIES = (["HUP"], ["HUP", "HUP", "HUP"], ["USR1", "HUP"])
+SERIES_AFTER_TERM = (["TERM"], ["TERM", "HUP"], ["HUP", "TERM", "TERM"])
+SERVER_FAULTS = ("hang", "slow", "errors", "resets", "drain", "restart", "crash")
+AMOUNTS = {"slow": (2.0, 8.0), "errors": (0.1, 0.9), "resets": (0.1, 0.6)}
+
+Table = dict[str, Any]
+
+
+def soak_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed."""
+    return toml.decode(soak_table(seed), Experiment, f"soak seed {seed}")
+
+
+def soak_table(seed: int) -> Table:
+    """Return the experiment of a seed as its file would hold it."""
+    random = Random(f"soak/{seed}")
+    zones = ["north", "south"][: random.randint(1, 2)]
+    servers = random.randint(2, 4)
+    balancers = random.randint(1, 2)
+    crowded = random.random() < CROWD_PROBABILITY
+    sockets = random.choice((128, 256, 512))
+    names = [f"b{number}" for number in range(balancers * len(zones))]
+    return {
+        "name": f"soak-{seed}",
+        "about": "drawn from a seed",
+        "seconds": SECONDS,
+        "zones": zones,
+        "servers": [{"name": zone, "zone": zone, "count": servers} for zone in zones],
+        "balancers": [{"zone": zone, "count": balancers, "sockets": sockets} for zone in zones],
+        "types": draw_types(random),
+        "load": {"course": [[0, random.uniform(4, 9)], [8, random.uniform(6, 16)]]},
+        "clients": {
+            "bad_per_s": random.choice((0, 5, 15)),
+            "leaves": random.choice((0.0, 0.05)),
+            "resting": random.randint(4, 12),
+            "crowd": sockets if crowded else 0,
+        },
+        "list_service": {"asked": random.random() < POLLED_PROBABILITY},
+        "settings": {"peers": random.random() < GOSSIP_PROBABILITY},
+        "trouble": draw_faults(random, zones, servers, names),
+    }
+
+
+def draw_types(random: Random) -> list[Table]:
+    """Draw the types of flows: one that may be repeated, and one that may not, or for a while."""
+    return [
+        {"name": "view", "share": 3, "life_s": [1, 6]},
+        {
+            "name": "book",
+            "share": 1,
+            "effect": random.choice(("once-only", "referenced")),
+            "scope": random.choice(("all", "zone")),
+            "setup_target_ms": 500,
+            "timeout_ms": random.choice((1500, 2500)),
+            "life_s": [1, 4],
+        },
+    ]
+
+
+def draw_faults(
+    random: Random, zones: list[str], servers: int, balancers: list[str]
+) -> list[Table]:
+    """Draw what happens: stops with their signals, reloads, faults of servers and of the list."""
+    faults: list[Table] = []
+    for name in random.sample(balancers, random.randint(1, len(balancers))):
+        faults += draw_stop(random, name)
+    for _ in range(random.randint(0, 2)):
+        faults.append({"kind": "reload", "at_s": draw_moment(random), "balancers": ["all"]})
+    names = [f"{zone}-{number}" for zone in zones for number in range(servers)]
+    # One server at least stays whole.
+    for name in random.sample(names, random.randint(1, len(names) - 1)):
+        faults.append(draw_server_fault(random, name))
+    if random.random() < 0.4:
+        span_s = round(random.uniform(1, MAX_OUTAGE_S), 2)
+        faults.append({"kind": "list_outage", "at_s": draw_moment(random), "for_s": span_s})
+    return faults
+
+
+def draw_moment(random: Random) -> float:
+    """Draw the second at which a fault begins."""
+    return round(random.uniform(FIRST_FAULT_S, LAST_FAULT_S), 2)
+
+
+def draw_stop(random: Random, balancer: str) -> list[Table]:
+    """Draw a planned stop, and series of signals before, with and after its SIGTERM."""
+    latest = SECONDS - STOP_LASTS_S
+    at_s = round(random.uniform(FIRST_FAULT_S, min(latest, LAST_FAULT_S)), 2)
+    stop: Table = {"kind": "balancer_stop", "at_s": at_s, "for_s": 0.3, "balancers": [balancer]}
+    faults = [stop]
+    for offset in random.sample(SERIES_OFFSETS_S, random.randint(0, 3)):
+        # Before its SIGTERM another one would be an end that nobody asked for.
+        kinds = (*SERIES, *SERIES_AFTER_TERM) if offset > 0.1 else SERIES
+        series = {"kind": "signals", "signals": random.choice(kinds), "balancers": [balancer]}
+        faults.append({"at_s": round(at_s + offset, 2)} | series)
+    return faults
+
+
+def draw_server_fault(random: Random, server: str) -> Table:
+    """Draw a fault of one server."""
+    kind = random.choice(SERVER_FAULTS)
+    fault: Table = {
+        "kind": kind,
+        "at_s": draw_moment(random),
+        "for_s": round(random.uniform(1, 5), 2),
+        "servers": [server],
+    }
+    if kind in AMOUNTS:
+        fault["amount"] = round(random.uniform(*AMOUNTS[kind]), 2)
+    return fault
--- a/cypresswalk/lab/testbed/client_driver.py
+++ b/cypresswalk/lab/testbed/client_driver.py
@@ -115,6 +115,18 @@
         except OSError:
             bed.observe("refused", "", balancer, person=client.number)
             return ConnectionResult()
+        return await self.send_flow(client, balancer, reader, writer, end, marks)
+
+    async def send_flow(
+        self,
+        client: Client,
+        balancer: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        end: int,
+        marks: str = "",
+    ) -> ConnectionResult:
+        """Send a flow's first line on an open connection, and play it to its end."""
         connection = ClientConnection(client, client.next_id(), balancer, end, reader, writer)
         try:
             set_nodelay(writer)
--- /dev/null
+++ b/cypresswalk/lab/testbed/resting_clients.py
@@ -0,0 +1,85 @@
+"""Clients that keep a connection open, at rest, and use it until the balancer ends it.
+
+Some ask PING now and then, and one day send a flow; others, the crowd, say nothing. They reach a
+balancer directly, as connections that the edge opened before do: also while it shuts down.
+"""
+
+import asyncio
+import contextlib
+from random import Random
+
+from cypresswalk.lab.testbed.bed import Bed
+from cypresswalk.lab.testbed.client_driver import ClientDriver
+from cypresswalk.lab.testbed.streams import CONNECTION_ENDS, MAX_LINE_BYTES, decode_line
+
+REST_S = (0.02, 0.6)  # between two uses of a connection
+RECONNECT_S = (0.05, 0.4)
+FLOW_PROBABILITY = 0.15  # that a use is a flow's first line
+PING_ANSWER_S = 3.0
+CROWD_STARTS_WITHIN_S = 2.0
+FIRST_NUMBER = 1_000_000  # clients of the load have lower ones
+NUMBERS_PER_BALANCER = 100_000
+USABLE = ("PONG", "ERR")  # answers after which the connection may be used again
+
+
+class RestingClients:
+    """The resting clients of all balancers."""
+
+    def __init__(self, bed: Bed, clients: ClientDriver):
+        """Start without any; `clients` plays their flows."""
+        self.bed = bed
+        self.clients = clients
+
+    async def run(self, balancer: str, began: int) -> None:
+        """Play a balancer's resting clients and its crowd for ever."""
+        await self.bed.sleep_until(began)
+        habits = self.bed.experiment.clients
+        first = FIRST_NUMBER + NUMBERS_PER_BALANCER * self.bed.balancers.index(balancer)
+        rests = [self._rest(balancer, first + number) for number in range(habits.resting)]
+        crowd = [self._be_silent(balancer, number) for number in range(habits.crowd)]
+        await asyncio.gather(*rests, *crowd)
+
+    async def _rest(self, balancer: str, number: int) -> None:
+        random = Random(f"{self.bed.seed}/resting/{number}")
+        while True:
+            # One that is refused, or ends while it is at rest, is opened again.
+            with contextlib.suppress(*CONNECTION_ENDS):
+                await self._use_connection(balancer, number, random)
+            number += self.bed.experiment.clients.resting
+            await asyncio.sleep(random.uniform(*RECONNECT_S))
+
+    async def _use_connection(self, balancer: str, number: int, random: Random) -> None:
+        """Use one connection until it ends or its one flow, the client's of that number, does."""
+        address = self.bed.balancer_addresses[balancer]
+        reader, writer = await asyncio.open_connection(*address, limit=MAX_LINE_BYTES)
+        try:
+            while True:
+                await asyncio.sleep(random.uniform(*REST_S))
+                if reader.at_eof() or writer.transport.is_closing():
+                    return
+                if random.random() < FLOW_PROBABILITY:
+                    break
+                writer.write(b"PING\r\n")
+                line = await asyncio.wait_for(reader.readline(), PING_ANSWER_S)
+                if decode_line(line) not in USABLE:
+                    return
+            client = self.bed.clients.client(number, 0)
+            end = self.bed.now() + client.lifetime
+            await self.clients.send_flow(client, balancer, reader, writer, end)
+        finally:
+            writer.close()
+
+    async def _be_silent(self, balancer: str, number: int) -> None:
+        random = Random(f"{self.bed.seed}/crowd/{balancer}/{number}")
+        await asyncio.sleep(random.uniform(0, CROWD_STARTS_WITHIN_S))
+        address = self.bed.balancer_addresses[balancer]
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(*address)
+            except OSError:
+                await asyncio.sleep(random.uniform(*RECONNECT_S))
+                continue
+            with contextlib.suppress(*CONNECTION_ENDS):  # reset: it makes room for others
+                await reader.read()
+            writer.close()
+            await asyncio.sleep(random.uniform(*RECONNECT_S))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,6 +20,7 @@
     "test_upgrade.py": "real_time_2",
     "test_experiment.py": "real_time_2",
     "test_scenarios.py": "real_time_2",
+    "test_soak.py": "real_time_1",
     "test_testbed.py": "real_time_2",
     "test_crash_safety.py": "real_time_2",
     "test_snapshot_writer.py": "real_time_2",
--- /dev/null
+++ b/tests/lab/test_soak.py
@@ -0,0 +1,92 @@
+"""The soak: plans drawn from a seed, what is judged beyond the checker, and a few seeds played."""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+from cypresswalk.cli.lab.soak import parse_seeds, prepare_folder
+from cypresswalk.lab.observations import Observation
+from cypresswalk.lab.soak import (
+    faults_logged,
+    names_flow,
+    play_seed,
+    repeated_beyond_memory,
+    unanswered_at_stops,
+)
+from cypresswalk.lab.soak_plan import soak_experiment, soak_table
+from cypresswalk.lab.units import SECOND
+from cypresswalk.refusal import CommandError
+
+PLANS = 300
+CI_SEEDS = (1, 3)
+
+
+def seen(second: float, kind: str, flow: str = "", subject: str = "", /, **fields) -> Observation:
+    """An observation at a second."""
+    return Observation(int(second * SECOND), kind, flow, subject, fields)
+
+
+def test_plans_are_valid_and_come_from_the_seed_alone():
+    tables = [soak_table(seed) for seed in range(PLANS)]
+    assert tables == [soak_table(seed) for seed in range(PLANS)]
+    experiments = [soak_experiment(seed) for seed in range(PLANS)]
+    kinds = {fault.kind for experiment in experiments for fault in experiment.faults}
+    assert {"balancer_stop", "signals", "reload", "list_outage", "hang", "drain"} <= kinds
+    assert any(experiment.clients.crowd for experiment in experiments)
+
+
+def test_no_second_sigterm_comes_before_the_stop_whose_it_is():
+    for experiment in map(soak_experiment, range(PLANS)):
+        stops = {f.balancers[0]: f.at_s for f in experiment.faults if f.kind == "balancer_stop"}
+        for fault in experiment.faults:
+            if "TERM" in fault.signals:
+                assert fault.at_s > stops[fault.balancers[0]]
+
+
+@pytest.mark.parametrize("text", ["", "x", "5-3", "1-2-3", "-1", "1-99999"])
+def test_seeds_that_are_no_range_are_refused_in_one_line(text):
+    with pytest.raises(CommandError, match="--seeds: "):
+        parse_seeds(text)
+
+
+def test_folder_that_cannot_be_made_is_refused(tmp_path: Path):
+    (tmp_path / "file").write_text("")
+    with pytest.raises(CommandError, match="--out: "):
+        prepare_folder(tmp_path / "file" / "soak")
+
+
+STOPPED = [seen(2, "balancer_down", "", "b0", planned=True), seen(9, "day_ended")]
+
+
+def test_flow_that_a_stopped_balancer_leaves_unanswered_is_found():
+    # The checker excuses what a balancer's end cuts off.
+    lost = [seen(1, "sent", "f1", "b0"), seen(1.9, "ended", "f1", "b0", how="reset")]
+    assert "f1" in unanswered_at_stops([*lost, *STOPPED])[0]
+    answered = [seen(1, "sent", "f1", "b0"), seen(1.5, "answer", "f1", "b0", kind="busy")]
+    assert unanswered_at_stops([*answered, *lost[1:], *STOPPED]) == []
+    elsewhere = [seen(1, "sent", "f1", "b1"), seen(1.9, "ended", "f1", "b1", how="reset")]
+    assert unanswered_at_stops([*elsewhere, *STOPPED]) == []
+
+
+def test_id_that_is_said_again_to_a_process_that_started_since_is_no_finding():
+    sent = seen(1, "sent", "f1", "b0")
+    again = seen(4, "said_again", "f1", "b0")
+    assert repeated_beyond_memory([sent, again]) == set()
+    assert repeated_beyond_memory([sent, seen(3, "balancer_up", "", "b0"), again]) == {"f1"}
+    assert names_flow("one answer: f1 at 4.0 s: a server was sent it", {"f1"})
+    assert not names_flow("one answer: f12 at 4.0 s: a server was sent it", {"f1"})
+
+
+def test_fault_in_a_log_is_found(tmp_path: Path):
+    (tmp_path / "b0.log").write_text("event=start\nevent=fault call=on_open\nevent=default\n")
+    assert faults_logged(tmp_path) == ["b0.log: event=fault call=on_open"]
+
+
+@pytest.mark.parametrize("seed", CI_SEEDS)
+def test_seed_holds(seed, tmp_path: Path):
+    verdict = play_seed(seed, tmp_path)
+    print(verdict, file=sys.stderr)
+    assert verdict.flows > 50
+    assert not verdict.void
+    assert not verdict.findings
