The look for idle clients bears clients that come and go

What callers saw: in a crowd the thread that accepts clients ended with a trace (thread_failed) and began anew 20 ms later. Cause: an iterator over the clients without a first line was made in one step and walked in the next, while their own threads change it. Fix: one call copies the dictionary, which no other thread can come between.

--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -3,7 +3,6 @@
 import logging
 import socket
 import time
-from itertools import islice
 from threading import Semaphore
 
 from cypresswalk.model import SECOND
@@ -140,7 +139,8 @@
 
     def _dismiss_idle(self, count: int) -> None:
         latest = self.inbox.clock() - self.limits.idle_grace
-        for client in list(islice(self.unopened, count)):
+        # In one call: clients' threads change it between any two.
+        for client in list(self.unopened)[:count]:
             if client.accepted_at < latest and client.dismiss():
                 self.core.counters.add("clients_idle")
 
