--- a/cypresswalk/lab/soak.py
+++ b/cypresswalk/lab/soak.py
@@ -15,11 +15,14 @@
 from cypresswalk.lab.observations import Observation
 from cypresswalk.lab.play import play_scenario
 from cypresswalk.lab.result import ScenarioResult
+from cypresswalk.lab.rules import DEFAULT_SLACK
 from cypresswalk.lab.soak_plan import soak_experiment, soak_table
 from cypresswalk.lab.units import SECOND
 
 FAULT_IN_LOG = re.compile(r"Traceback|event=(fault|thread_failed)\b")
 MAX_SHOWN_FINDINGS = 20
+LEFT_ATTEMPT_TIME = SECOND // 10  # within which attempts for a client that left may begin
+MAX_LATE_ATTEMPTS = 2
 
 
 @dataclass(slots=True)
@@ -53,6 +56,7 @@
     findings = [
         *(breach for breach in result.breaches if not names_flow(breach, repeated)),
         *unanswered_at_stops(result.events),
+        *attempts_for_nobody(result.events),
         *faults_logged(folder),
         *descriptors_beyond(experiment, result),
     ]
@@ -112,6 +116,21 @@
     return findings
 
 
+def attempts_for_nobody(events: Iterable[Observation]) -> list[str]:
+    """Return attempts that began over 0.1 s after their client had left, from the third on."""
+    left_at: dict[str, int] = {}
+    late: list[str] = []
+    for event in events:
+        if event.kind == "left":
+            left_at[event.flow] = event.at
+        elif event.kind == "attempt" and event.flow in left_at:
+            after = event.at - left_at[event.flow]
+            if after > LEFT_ATTEMPT_TIME + DEFAULT_SLACK:
+                text = f"an attempt {after / SECOND:.3f} s after its client left"
+                late.append(f"one answer: {event.flow} at {event.at / SECOND:.3f} s: {text}")
+    return late if len(late) > MAX_LATE_ATTEMPTS else []
+
+
 def faults_logged(folder: Path) -> list[str]:
     """Return the lines in which a balancer logged a fault of its own."""
     return [
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -8,6 +8,7 @@
 from cypresswalk.cli.lab.soak import parse_seeds, prepare_folder
 from cypresswalk.lab.observations import Observation
 from cypresswalk.lab.soak import (
+    attempts_for_nobody,
     faults_logged,
     names_flow,
     play_seed,
@@ -69,6 +70,18 @@
     assert unanswered_at_stops([*elsewhere, *STOPPED]) == []
 
 
+def test_attempts_for_clients_that_left_are_found_from_the_third_on():
+    def flow(number: int, after: float) -> list[Observation]:
+        """A flow whose client leaves, and an attempt that begins so much later."""
+        ident = f"f{number}"
+        return [seen(1, "left", ident, "b0"), seen(1 + after, "attempt", ident, "s-0")]
+
+    late = [event for number in range(3) for event in flow(number, 0.2)]
+    assert len(attempts_for_nobody(late)) == 3
+    assert attempts_for_nobody(late[:4]) == []
+    assert attempts_for_nobody([event for number in range(3) for event in flow(number, 0.1)]) == []
+
+
 def test_id_that_is_said_again_is_no_finding():
     events = [seen(1, "sent", "f1", "b0"), seen(4, "said_again", "f1", "b0")]
     assert repeated_ids(events) == {"f1"}
