An interrupted soak or comparison ends its workers at once

What callers saw: a signal to lab soak alone ended it only after the plays under way, up to 16 s later; two processes were still there after 4 s. Cause: the with block of the pool waits, whatever shutdown(wait=False) said. Evidence: seen as a soak was interrupted; the test, which allows 3 s, failed before and passes after. Fix: the workers are ended, and their balancers with them (they die with their parent). lab compare had the same lines and uses the same function now.

--- a/cypresswalk/cli/lab/experiments.py
+++ b/cypresswalk/cli/lab/experiments.py
@@ -12,6 +12,7 @@
 import click
 
 from cypresswalk.cli.lab.exit_codes import BROKEN, VOID
+from cypresswalk.cli.lab.workers import end_workers
 from cypresswalk.refusal import CommandError
 
 if TYPE_CHECKING:  # imported when a command runs, so that `--help` costs nothing
@@ -112,7 +113,7 @@
                     summaries[run] = summary
                     bar.update(1)
         except BaseException:
-            pool.shutdown(wait=False, cancel_futures=True)
+            end_workers(pool)
             raise
     return [summaries[name, seed] for name in names for seed in seeds]
 
--- a/cypresswalk/cli/lab/soak.py
+++ b/cypresswalk/cli/lab/soak.py
@@ -12,6 +12,7 @@
 import click
 
 from cypresswalk.cli.lab.exit_codes import BROKEN, VOID
+from cypresswalk.cli.lab.workers import end_workers
 from cypresswalk.refusal import CommandError
 
 if TYPE_CHECKING:  # imported when a command runs, so that `--help` costs nothing
@@ -65,7 +66,7 @@
                     verdicts[seed] = verdict
                     bar.update(1)
         except BaseException:
-            pool.shutdown(wait=False, cancel_futures=True)
+            end_workers(pool)
             click.echo(table_of(list(verdicts.values())))
             raise
     return [verdicts[seed] for seed in seeds]
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -1,9 +1,14 @@
 """The soak: plans drawn from a seed, what is judged beyond the checker, and a few seeds played."""
 
+import signal
+import subprocess
 import sys
 from pathlib import Path
 
+import psutil
 import pytest
+from paths import ROOT
+from program_helpers import wait_until
 
 from cypresswalk.cli.lab.soak import parse_seeds, prepare_folder
 from cypresswalk.lab.observations import Observation
@@ -94,6 +99,24 @@
     assert faults_logged(tmp_path) == ["b0.log: event=fault call=on_open"]
 
 
+def test_an_interrupt_of_a_soak_ends_every_child_within_three_seconds(tmp_path: Path):
+    # Seen: the command alone was interrupted, and waited for its seed to end, up to 16 s.
+    command = [sys.executable, "-m", "cypresswalk", "lab", "soak", "--seeds", "1-2"]
+    process = subprocess.Popen(
+        [*command, "--out", str(tmp_path)], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
+    lab = psutil.Process(process.pid)
+    wait_until(lambda: list(tmp_path.glob("seed-1/b0.log")), timeout=20)
+    children = lab.children(recursive=True)
+    assert len(children) >= 2  # the seed's process and its balancers
+    process.send_signal(signal.SIGINT)
+    output, _ = process.communicate(timeout=3)
+    assert "| seed | flows | verdict |" in output
+    assert process.returncode not in (0, None)
+    _, alive = psutil.wait_procs(children, timeout=1)
+    assert not alive
+
+
 @pytest.mark.parametrize("seed", CI_SEEDS)
 def test_seed_holds(seed, tmp_path: Path):
     verdict = play_seed(seed, tmp_path)
