--- a/cypresswalk/cli/fleet/caller.py
+++ b/cypresswalk/cli/fleet/caller.py
@@ -97,13 +97,17 @@
 
 
 def pass_caller(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Hands a command the caller that the group's options name, as its first argument."""
+    """Hands a command its caller as the first argument.
+
+    That is the one which the group's options name, or one that was made already.
+    """
 
     @click.pass_obj
     @wraps(command)
-    def with_caller(options: FleetOptions, *args: Any, **kwargs: Any) -> Any:
+    def with_caller(fleet: FleetOptions | FleetCaller, *args: Any, **kwargs: Any) -> Any:
         """Runs the command."""
-        return command(options.caller(), *args, **kwargs)
+        caller = fleet.caller() if isinstance(fleet, FleetOptions) else fleet
+        return command(caller, *args, **kwargs)
 
     return with_caller
 
