fleet copies makes its caller as every command does

Fix: caller_of gives the caller in both places. Test: commands without a fleet are refused in one line, copies among them: failed before, passes after.

--- a/cypresswalk/cli/fleet/caller.py
+++ b/cypresswalk/cli/fleet/caller.py
@@ -96,18 +96,19 @@
     return FleetCaller([table.address, *others], table.fleet, timeout)
 
 
-def pass_caller(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Hands a command its caller as the first argument.
+def caller_of(fleet: FleetOptions | FleetCaller) -> FleetCaller:
+    """The caller that the group's options name, or the one that was made already."""
+    return fleet.caller() if isinstance(fleet, FleetOptions) else fleet
 
-    That is the one which the group's options name, or one that was made already.
-    """
+
+def pass_caller(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Hands a command its caller as the first argument."""
 
     @click.pass_obj
     @wraps(command)
     def with_caller(fleet: FleetOptions | FleetCaller, *args: Any, **kwargs: Any) -> Any:
         """Runs the command."""
-        caller = fleet.caller() if isinstance(fleet, FleetOptions) else fleet
-        return command(caller, *args, **kwargs)
+        return command(caller_of(fleet), *args, **kwargs)
 
     return with_caller
 
--- a/cypresswalk/cli/fleet/replicas.py
+++ b/cypresswalk/cli/fleet/replicas.py
@@ -7,6 +7,7 @@
 
 from cypresswalk.cli.fleet.caller import (
     FleetCaller,
+    caller_of,
     in_brackets,
     json_option,
     pass_caller,
@@ -25,7 +26,7 @@
     """Where idempotency keys are replicated, and what lacks replicas; `check`, `renew`."""
     if context.invoked_subcommand is not None:
         return
-    body = context.obj.call("copies")
+    body = caller_of(context.obj).call("copies")
     if as_json:
         print_json(body)
         return
