--- a/review/standins.py
+++ b/review/standins.py
@@ -53,7 +53,7 @@
 
     def add(self, text: str) -> None:
         """Add a line with the time."""
-        self.file.write(f"{now() - self.start:9.3f} {text}\n")
+        self.file.write(f"{1000 * (now() - self.start):7.0f} ms {text}\n")
 
     def say(self, text: str) -> None:
         """Add a line, and print it."""
