Listener: count how long clients wait to be accepted, and log who holds the slots

Change: counters clients_accepted_late, accept_wait_max_ms (from TCP_INFO) and slot_wait_us, and at most once a second the event slots_exhausted with the clients that hold the slots. Behaviour is as before.

--- a/cypresswalk/net/clients.py
+++ b/cypresswalk/net/clients.py
@@ -27,6 +27,7 @@
         session: The core's state for this client.
         accepted_at: The time at which it was accepted, in nanoseconds.
         relay: The relay to the server, once the core has started it.
+        dismissed: Whether `dismiss` has ended it to free its slot.
     """
 
     def __init__(
@@ -56,11 +57,11 @@
         self.session = Session(self)
         self.accepted_at = inbox.clock()
         self.relay: Relay | None = None
+        self.dismissed = False
         self._unopened = unopened
         self._opened = False  # whether the first line is complete
-        self._dismissed = False  # whether `dismiss` has ended it to free its slot
         self._lines = LineParser(limits.max_line_bytes)
-        # Held while lines are parsed and forwarded, and while `_opened` and `_dismissed` change.
+        # Held while lines are parsed and forwarded, and while `_opened` and `dismissed` change.
         self._lock = Lock()
 
     def run(self) -> None:
@@ -91,10 +92,10 @@
             )
         elif malformed:
             # Nothing was sent to a server, so a client dismissed only to make room may retry.
-            self.link.send_nowait(BUSY_REPLY if self._dismissed else ERROR_REPLY)
+            self.link.send_nowait(BUSY_REPLY if self.dismissed else ERROR_REPLY)
             # Reading from a dismissed client is shut down already; if both directions were shut
             # down, the kernel would answer data that still arrives with a reset.
-            if not self._dismissed:
+            if not self.dismissed:
                 self.link.shutdown(socket.SHUT_WR)
         if self.relay is not None:
             forward_end(reset, self.relay.server, self.limits)
@@ -132,14 +133,14 @@
         if data:
             self._lines.feed(data)
             return True
-        if self._dismissed:
+        if self.dismissed:
             raise ProtocolError("no first line, and its slot was needed for another client")
         return False
 
     def _open(self, line: bytes) -> OpenRequest:
         request = parse_open_request(line)
         with self._lock:
-            if self._dismissed:
+            if self.dismissed:
                 raise ProtocolError(
                     "first line arrived after its slot was freed for another client"
                 )
@@ -158,9 +159,9 @@
         if not self._lock.acquire(blocking=False):
             return False
         try:
-            if self._opened or self._dismissed or self.link.is_readable():
+            if self._opened or self.dismissed or self.link.is_readable():
                 return False
-            self._dismissed = True
+            self.dismissed = True
             self.link.shutdown(socket.SHUT_RD)
             return True
         finally:
@@ -172,7 +173,7 @@
         Closing a socket with unread data sends a reset, and the client could lose the reply.
         """
         # A dismissed client must free its slot soon, but its first line may still be in transit.
-        duration = self.limits.idle_grace if self._dismissed else self.limits.linger_timeout
+        duration = self.limits.idle_grace if self.dismissed else self.limits.linger_timeout
         deadline = self.inbox.clock() + duration
         remaining_bytes = self.limits.max_discarded_bytes
         pause = self.limits.dismissed_poll_interval
@@ -185,7 +186,7 @@
                 data = self.link.sock.recv(self.limits.max_line_bytes)
                 if data:
                     remaining_bytes -= len(data)
-                elif self._dismissed and not self.link.peer_closed():
+                elif self.dismissed and not self.link.peer_closed():
                     # After `dismiss` a read returns an end at once, even if the client has not
                     # ended. Pauses get longer: in a crowd many clients are dismissed at once, and
                     # their threads would take most of the processor.
--- a/cypresswalk/net/counters.py
+++ b/cypresswalk/net/counters.py
@@ -5,7 +5,7 @@
 
 
 class Counters:
-    """Named counters that any thread may increase.
+    """Named counters, and largest values, that any thread may increase.
 
     Attributes:
         counts: The counts since the start, by name.
@@ -21,6 +21,11 @@
         with self._lock:
             self.counts[name] += count
 
+    def keep_largest(self, name: str, value: int) -> None:
+        """Set a counter to a value unless it is larger already."""
+        with self._lock:
+            self.counts[name] = max(self.counts[name], value)
+
     def line(self) -> str:
         """Return all counters for a log line, ordered by name."""
         with self._lock:
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -8,6 +8,7 @@
 from cypresswalk.model import SECOND
 
 MILLISECOND = SECOND // 1000
+MICROSECOND = MILLISECOND // 1000
 KIB = 1 << 10
 MIB = 1 << 20
 # Interval at which discovery sends an empty line while nothing changes.
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -10,7 +10,7 @@
 from cypresswalk.net.config import Address
 from cypresswalk.net.core import Core
 from cypresswalk.net.inbox import Inbox
-from cypresswalk.net.limits import MILLISECOND, Limits
+from cypresswalk.net.limits import MICROSECOND, MILLISECOND, Limits
 from cypresswalk.net.logs import event
 from cypresswalk.net.session import BUSY_REPLY
 from cypresswalk.net.threads import start_thread
@@ -65,6 +65,7 @@
         self.closes_at: int | None = None
         self.closed = False
         self._shared = shared
+        self._next_shortage_log = 0  # the earliest time for the next event `slots_exhausted`
         self.sock = sock or self._listen(address)
 
     def run(self) -> None:
@@ -97,6 +98,7 @@
         self.core.counters.add("clients")
         try:
             client = ClientConnection(sock, self.core, self.inbox, self.limits, self.unopened)
+            self._measure_wait(client)
             start_thread(lambda: self._serve(client), name="client")
         except (OSError, RuntimeError) as error:
             log.error(event("client_not_served", error=error))
@@ -125,11 +127,43 @@
 
         While there is none, idle clients that have sent nothing are dismissed.
         """
-        while not self.slots.acquire(timeout=self.limits.accept_retry_pause / SECOND):
-            self._dismiss_idle(len(self.unopened))
-            if self._accept_timeout() <= 0:
-                return False
-        return True
+        if self.slots.acquire(blocking=False):
+            return True
+        began = self.inbox.clock()
+        try:
+            while not self.slots.acquire(timeout=self.limits.accept_retry_pause / SECOND):
+                self._log_shortage()
+                self._dismiss_idle(len(self.unopened))
+                if self._accept_timeout() <= 0:
+                    return False
+            return True
+        finally:
+            waited = self.inbox.clock() - began
+            self.core.counters.add("slot_wait_us", waited // MICROSECOND)
+
+    def _measure_wait(self, client: ClientConnection) -> None:
+        """Count how long an accepted client has waited in the backlog."""
+        waited = client.link.time_since_data()
+        if waited >= self.limits.accept_retry_pause:
+            self.core.counters.add("clients_accepted_late")
+        self.core.counters.keep_largest("accept_wait_max_ms", waited // MILLISECOND)
+
+    def _log_shortage(self) -> None:
+        """Log who holds the slots, at most once a second."""
+        now = self.inbox.clock()
+        if now < self._next_shortage_log:
+            return
+        self._next_shortage_log = now + SECOND
+        unopened = list(self.unopened)
+        dismissed = sum(client.dismissed for client in unopened)
+        log.warning(
+            event(
+                "slots_exhausted",
+                clients=len(self.clients),
+                unopened=len(unopened) - dismissed,
+                dismissed=dismissed,
+            )
+        )
 
     def _accept_timeout(self) -> int:
         """Return how long to wait for a client before checking for the end, in nanoseconds."""
