Clients that have sent nothing wait without a thread, and never hold up the backlog

Cause: nobody was accepted while all slots were held, and a silent client held one for 0.2 to 0.25 s: its grace from when it was accepted, the next look, and 0.1 s more after its dismissal. 58 slots, 260 clients a second. Change: the accepting thread watches clients that have sent nothing; the first bytes start a client's thread. The grace counts from when it connected (TCP_INFO). A dismissed client lingers only until its slot is needed. While all slots are held one more client is accepted, in a descriptor taken off the slots: a silent one is rejected after its grace, one that has sent something after 0.25 s. So whoever is last of a full backlog waits for the grace and the time to look at those before it, not for their slots. Not taken: more slots or a shorter grace (move the figure); TCP_DEFER_ACCEPT (no reply, and a full queue of half-open connections refuses honest ones).

--- a/cypresswalk/net/clients.py
+++ b/cypresswalk/net/clients.py
@@ -37,6 +37,7 @@
         inbox: Inbox,
         limits: Limits,
         unopened: "dict[ClientConnection, None]",
+        accepted_at: int | None = None,
     ):
         """Take over an accepted socket.
 
@@ -46,6 +47,7 @@
             inbox: The event queue of the deciding thread.
             limits: Sizes and times.
             unopened: The listener's clients that have not sent their first line.
+            accepted_at: When it was accepted, in nanoseconds; None if just now.
 
         Raises:
             OSError: The connection has failed already.
@@ -55,7 +57,7 @@
         self.inbox = inbox
         self.limits = limits
         self.session = Session(self)
-        self.accepted_at = inbox.clock()
+        self.accepted_at = inbox.clock() if accepted_at is None else accepted_at
         self.relay: Relay | None = None
         self.dismissed = False
         self._unopened = unopened
@@ -115,8 +117,7 @@
                 # A client must wait for each reply, so that it cannot send hundreds of commands.
                 raise ProtocolError("more than one line before a reply")
             elif line == b"PING":
-                ready = self.core.lifecycle.ready and self.core.extensions.may_place_flows()
-                self.link.send(b"PONG\r\n" if ready else ERROR_REPLY)
+                self.link.send(self.core.ping_reply())
             else:
                 return self._open(line)
 
--- a/cypresswalk/net/connection.py
+++ b/cypresswalk/net/connection.py
@@ -75,6 +75,30 @@
     return line
 
 
+def peek(sock: socket.socket) -> bytes | None:
+    """Return the next byte without taking it, empty if the peer has ended; None if none came."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
+def time_since_data(sock: socket.socket) -> int:
+    """Return how long ago the latest data arrived, in nanoseconds; 0 if that is not known.
+
+    Without any data the time counts from when the connection was set up. A program may accept a
+    connection, or read its data, much later than the kernel.
+    """
+    size = LAST_DATA_RECEIVED_OFFSET + 4
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        return 0
+    return struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0] * MILLISECOND
+
+
 class Connection:
     """A connected socket, closed only by the thread that reads it.
 
@@ -130,23 +154,16 @@
     def is_readable(self) -> bool:
         """Return whether data, an end of stream or a reset is waiting to be read."""
         with self._close_lock:
-            try:
-                self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                return False
-            except OSError:
-                pass
-            return True
+            return peek(self.sock) is not None
 
     def has_ended(self) -> bool:
         """Return whether an end of stream or a reset has arrived, even behind unread data."""
         with self._close_lock:
-            try:
-                if not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-                    return True
-                return self.peer_closed()
-            except BlockingIOError:
+            data = peek(self.sock)
+            if data is None:
                 return False
+            try:
+                return not data or self.peer_closed()
             except OSError:
                 return True
 
@@ -159,16 +176,8 @@
         return state in PEER_CLOSED_STATES
 
     def time_since_data(self) -> int:
-        """Return how long ago the latest data arrived, in nanoseconds; 0 if that is not known.
-
-        Its thread may read it later, when many threads run.
-        """
-        size = LAST_DATA_RECEIVED_OFFSET + 4
-        try:
-            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
-        except OSError:
-            return 0
-        return struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0] * MILLISECOND
+        """Return how long ago the latest data arrived; see `time_since_data` of this module."""
+        return time_since_data(self.sock)
 
     def shutdown(self, how: int) -> None:
         """Shut down one or both directions, such as `socket.SHUT_WR`."""
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -42,7 +42,14 @@
 from cypresswalk.net.parsers.load_reports import LoadReportParser
 from cypresswalk.net.ports import Drivers, Endpoint, Extensions
 from cypresswalk.net.resumption import Resumption
-from cypresswalk.net.session import BUSY_REPLY, ERROR_REPLY, Attempt, Session, busy_reply
+from cypresswalk.net.session import (
+    BUSY_REPLY,
+    ERROR_REPLY,
+    PONG_REPLY,
+    Attempt,
+    Session,
+    busy_reply,
+)
 from cypresswalk.net.silence import SilenceDetector
 from cypresswalk.net.timers import Timers
 
@@ -135,6 +142,18 @@
             self.counters.add("flows_again")
         self._admit(now, session)
 
+    def on_no_slot(self, now: int, request: OpenRequest) -> None:
+        """Count a request that the listener has rejected, since all slots for clients are held."""
+        self.counters.add("flows_beyond_sockets")
+        service_type = request.values.get("c", "")
+        if service_type in self.service_types:
+            self.metrics.count(REJECTED, service_type)
+
+    def ping_reply(self) -> bytes:
+        """Return the reply to PING; called by any thread."""
+        ready = self.lifecycle.ready and self.extensions.may_place_flows()
+        return PONG_REPLY if ready else ERROR_REPLY
+
     def _is_acceptable(self, request: OpenRequest, timeout: int) -> bool:
         """Return whether the request's service type, tenant and timeout fit the settings.
 
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -73,8 +73,13 @@
     bind_timeout: int = 3 * SECOND
     # A client that has not sent its first line by then is rejected.
     first_line_timeout: int = 2 * SECOND
-    # The same if other clients wait for its slot.
+    # The same if other clients wait for its slot; counts from when it connected.
     idle_grace: int = SECOND // 10
+    # A client that has sent something and for which there is no slot is rejected after this time,
+    # so that those behind it have their reply before their set-up timeouts.
+    max_slot_wait: int = SECOND // 4
+    # How often to look for a free slot while a client waits for one.
+    slot_poll_interval: int = 5 * MILLISECOND
     # Most bytes to read and discard after the final reply; reading them costs as much as reading
     # other clients' data.
     max_discarded_bytes: int = 256 * KIB
@@ -196,6 +201,11 @@
         reserved = (self.max_admin_connections + self.handover_sockets) * self.admin_enabled
         return max(self.spare_sockets - reserved, self.spare_sockets // 2) // 2
 
+    @property
+    def client_slots(self) -> int:
+        """Return the limit of connected clients, without one that is accepted and has no slot."""
+        return max(self.max_flows + self.max_unopened_clients - 1, 1)
+
     @property
     def max_lingering_connections(self) -> int:
         """Return the limit of connections to servers that briefly outlive their flow.
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -1,25 +1,38 @@
-"""Accepts clients and limits how many are connected."""
+"""Accepts clients and limits how many are connected.
+
+One thread accepts all clients and watches those that have sent nothing yet; a client gets its own
+thread with its first bytes. While all slots are held, one more client is accepted and waits for a
+slot, so that whoever holds up the backlog is known and can be rejected in time.
+"""
 
 import logging
 import socket
 import time
-from threading import Semaphore
+from contextlib import suppress
+from threading import Lock, Semaphore
 
 from cypresswalk.model import SECOND
 from cypresswalk.net.clients import ClientConnection
 from cypresswalk.net.config import Address
+from cypresswalk.net.connection import peek, time_since_data
 from cypresswalk.net.core import Core
+from cypresswalk.net.errors import ProtocolError
+from cypresswalk.net.idle_clients import IdleClient, IdleClients
 from cypresswalk.net.inbox import Inbox
 from cypresswalk.net.limits import MICROSECOND, MILLISECOND, Limits
 from cypresswalk.net.logs import event
-from cypresswalk.net.session import BUSY_REPLY
+from cypresswalk.net.parsers.lines import LineParser, parse_open_request
+from cypresswalk.net.session import BUSY_REPLY, ERROR_REPLY
 from cypresswalk.net.threads import start_thread
 
 log = logging.getLogger(__name__)
 
+# Clients accepted in a row before those that have sent something meanwhile are served.
+MAX_ACCEPTED_AT_ONCE = 64
+
 
 class ClientListener:
-    """The listening socket for clients; accepts each and starts its thread.
+    """The listening socket for clients, and the slots that limit how many are connected.
 
     Attributes:
         sock: The listening socket.
@@ -27,10 +40,11 @@
             `run`.
         slots: A semaphore that limits connected clients. Further clients wait in the backlog, so
             that descriptors remain for established flows.
-        clients: The connected clients.
-        unopened: The clients that have not sent their first line, oldest first.
+        idle: The clients that have sent nothing yet, which only the accepting thread uses.
+        clients: The clients that have a thread.
+        unopened: Of these, the ones that have not sent their whole first line, oldest first.
         closes_at: The time at which to stop accepting for good, in nanoseconds; None if not set.
-        closed: Whether `run` has ended.
+        closed: Whether nobody is accepted any more and all idle clients are dismissed.
     """
 
     def __init__(
@@ -59,51 +73,63 @@
         self.inbox = inbox
         self.limits = limits
         self.accepting = True
-        self.slots = Semaphore(limits.max_flows + limits.max_unopened_clients)
+        self.slots = Semaphore(limits.client_slots)
+        self.idle = IdleClients(inbox.clock, limits, self.slots.release)
         self.clients: dict[ClientConnection, None] = {}
         self.unopened: dict[ClientConnection, None] = {}
         self.closes_at: int | None = None
         self.closed = False
         self._shared = shared
+        self._running = Lock()  # held by `run`
+        self._unplaced: IdleClient | None = None  # accepted, and waits for a slot
+        self._unplaced_since = 0  # when it was accepted
+        self._retry_at = 0  # the earliest time to accept again after a failure
         self._next_shortage_log = 0  # the earliest time for the next event `slots_exhausted`
         self.sock = sock or self._listen(address)
 
     def run(self) -> None:
-        """Accept clients until `closes_at`; runs in a thread of its own."""
-        while self.accepting and self._accept_timeout() > 0:
-            if not self._acquire_slot():
-                break
-            self.sock.settimeout(max(self._accept_timeout(), MILLISECOND) / SECOND)
-            try:
-                sock, _ = self.sock.accept()
-            except TimeoutError:
-                self.slots.release()
-                continue
-            except OSError as error:
-                # Descriptors may still run short for a while, until other connections close.
-                self.slots.release()
-                log.warning(event("accept_failed", error=error))
-                time.sleep(self.limits.accept_retry_pause / SECOND)
-                continue
-            self.admit(sock)
-            excess = len(self.unopened) - self.limits.max_unopened_clients
-            if excess > 0:
-                self._dismiss_idle(excess)
-        if self.accepting:
-            self._close()
-        self.closed = True
-
-    def admit(self, sock: socket.socket) -> None:
-        """Start a client's thread, in a slot that the caller has acquired for it."""
-        self.core.counters.add("clients")
+        """Accept clients until `closes_at` or until another process accepts them.
+
+        Runs in a thread of its own. A second call waits for the first to end.
+        """
+        with self._running:
+            self.sock.setblocking(False)
+            while self.accepting and self._accept_timeout() > 0:
+                self._serve_once()
+            if self.accepting:
+                self._close()
+            else:
+                self._leave_to_threads()
+            self.closed = True
+            self._linger()
+
+    def has_clients(self) -> bool:
+        """Return whether a client is connected or, though dismissed, may still send something."""
+        return bool(self.clients or self.idle.dismissed)
+
+    def admit(self, sock: socket.socket, accepted_at: int | None = None) -> None:
+        """Start a client's thread, in a slot that the caller has acquired for it.
+
+        Args:
+            sock: The client's socket.
+            accepted_at: When it was accepted, in nanoseconds; None if just now.
+        """
+        try:
+            client = ClientConnection(
+                sock, self.core, self.inbox, self.limits, self.unopened, accepted_at
+            )
+        except OSError as error:
+            self._fail(sock, error)
+            return
         try:
-            client = ClientConnection(sock, self.core, self.inbox, self.limits, self.unopened)
-            self._measure_wait(client)
             start_thread(lambda: self._serve(client), name="client")
-        except (OSError, RuntimeError) as error:
-            log.error(event("client_not_served", error=error))
-            sock.close()
-            self.slots.release()
+        except RuntimeError as error:
+            self._fail(sock, error)
+
+    def _fail(self, sock: socket.socket, error: Exception) -> None:
+        log.error(event("client_not_served", error=error))
+        sock.close()
+        self.slots.release()
 
     def dismiss_unopened(self) -> None:
         """Dismiss all clients that have not sent anything."""
@@ -122,31 +148,123 @@
                     raise
                 time.sleep(self.limits.accept_retry_pause / SECOND)
 
-    def _acquire_slot(self) -> bool:
-        """Wait for a slot; return False if accepting ends before one is free.
+    def _accept_timeout(self) -> int:
+        """Return how long to wait for a client before checking for the end, in nanoseconds."""
+        wait = self.limits.accept_retry_pause if self._shared else self.limits.accept_poll_interval
+        if self.closes_at is None:
+            return wait
+        return min(self.closes_at - self.inbox.clock(), wait)
 
-        While there is none, idle clients that have sent nothing are dismissed.
-        """
-        if self.slots.acquire(blocking=False):
-            return True
-        began = self.inbox.clock()
+    def _serve_once(self) -> None:
+        """Wait for clients that connect, send or end, and for those whose time is over."""
+        for client in self.idle.wait(self._wait_time(), self._socket_to_poll()):
+            self._serve_ready(client)
+        self._accept_waiting()
+        self._dismiss_excess()
+        self._expire_idle()
+        self.idle.close_lingering()
+
+    def _serve_ready(self, client: IdleClient) -> None:
+        """Start the thread of a client that has sent something; close one that has ended."""
+        if peek(client.sock):
+            self.admit(client.sock, client.accepted_at)
+        else:
+            client.sock.close()
+            self.slots.release()
+
+    def _socket_to_poll(self) -> socket.socket | None:
+        """Return the listening socket if another client may be accepted now."""
+        may_accept = self._unplaced is None and self.inbox.clock() >= self._retry_at
+        return self.sock if may_accept else None
+
+    def _wait_time(self) -> int:
+        """Return how long nothing has to be done unless a client connects, sends or ends."""
+        if self._unplaced is not None:
+            return self.limits.slot_poll_interval
+        now = self.inbox.clock()
+        due = [now + self._accept_timeout()]
+        if self._retry_at > now:
+            due.append(self._retry_at)
+        next_close = self.idle.next_close()
+        if next_close is not None:
+            due.append(next_close)
+        oldest = self.idle.oldest()
+        if oldest is not None:
+            due.append(oldest.accepted_at + self.limits.first_line_timeout)
+            if self._excess() > 0:
+                due.append(oldest.idle_since + self.limits.idle_grace)
+        return max(min(due) - now, 0)
+
+    def _accept_waiting(self) -> None:
+        """Accept clients from the backlog and give each a slot, as far as there are slots."""
+        for _ in range(MAX_ACCEPTED_AT_ONCE):
+            client = self._unplaced or self._accept()
+            if client is None:
+                return
+            if not self._place(client):
+                self._wait_for_slot(client)
+                return
+            if self._unplaced is not None:
+                waited = self.inbox.clock() - self._unplaced_since
+                self.core.counters.add("slot_wait_us", waited // MICROSECOND)
+                self._unplaced = None
+
+    def _accept(self) -> IdleClient | None:
+        """Return the first client in the backlog; None if there is none or accepting fails."""
         try:
-            while not self.slots.acquire(timeout=self.limits.accept_retry_pause / SECOND):
-                self._log_shortage()
-                self._dismiss_idle(len(self.unopened))
-                if self._accept_timeout() <= 0:
-                    return False
+            sock, _ = self.sock.accept()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            # Descriptors may still run short for a while, until other connections close.
+            log.warning(event("accept_failed", error=error))
+            self._retry_at = self.inbox.clock() + self.limits.accept_retry_pause
+            return None
+        waited = time_since_data(sock)
+        now = self.inbox.clock()
+        counters = self.core.counters
+        counters.add("clients")
+        if waited >= self.limits.accept_retry_pause:
+            counters.add("clients_accepted_late")
+        counters.keep_largest("accept_wait_max_ms", waited // MILLISECOND)
+        return IdleClient(sock, idle_since=now - waited, accepted_at=now)
+
+    def _place(self, client: IdleClient) -> bool:
+        """Serve, watch or reject an accepted client; return False if it has to wait for a slot."""
+        data = peek(client.sock)
+        if data is None:
+            if self._take_slot():
+                self.idle.add(client)
+            elif self.inbox.clock() - client.idle_since >= self.limits.idle_grace:
+                self.core.counters.add("clients_idle")
+                self._reject(client.sock)
+            else:
+                return False
+        elif not data:
+            client.sock.close()
+        elif self._take_slot():
+            self.admit(client.sock, client.accepted_at)
+        elif time_since_data(client.sock) >= self.limits.max_slot_wait:
+            self._reject(client.sock)
+        else:
+            return False
+        return True
+
+    def _take_slot(self) -> bool:
+        """Acquire a slot, if necessary that of a dismissed client or of one that is idle."""
+        if self.slots.acquire(blocking=False):
             return True
-        finally:
-            waited = self.inbox.clock() - began
-            self.core.counters.add("slot_wait_us", waited // MICROSECOND)
+        if not self.idle.dismissed:
+            self._dismiss_oldest(1)
+        return self.idle.close_oldest_dismissed() and self.slots.acquire(blocking=False)
 
-    def _measure_wait(self, client: ClientConnection) -> None:
-        """Count how long an accepted client has waited in the backlog."""
-        waited = client.link.time_since_data()
-        if waited >= self.limits.accept_retry_pause:
-            self.core.counters.add("clients_accepted_late")
-        self.core.counters.keep_largest("accept_wait_max_ms", waited // MILLISECOND)
+    def _wait_for_slot(self, client: IdleClient) -> None:
+        """Keep a client that has no slot; nobody else is accepted until it has one."""
+        if self._unplaced is None:
+            self._unplaced = client
+            self._unplaced_since = self.inbox.clock()
+        self._dismiss_idle(len(self.unopened))
+        self._log_shortage()
 
     def _log_shortage(self) -> None:
         """Log who holds the slots, at most once a second."""
@@ -159,20 +277,45 @@
         log.warning(
             event(
                 "slots_exhausted",
-                clients=len(self.clients),
-                unopened=len(unopened) - dismissed,
-                dismissed=dismissed,
+                clients=len(self.clients) + len(self.idle.waiting) + len(self.idle.dismissed),
+                unopened=len(unopened) - dismissed + len(self.idle.waiting),
+                dismissed=dismissed + len(self.idle.dismissed),
             )
         )
 
-    def _accept_timeout(self) -> int:
-        """Return how long to wait for a client before checking for the end, in nanoseconds."""
-        wait = self.limits.accept_retry_pause if self._shared else self.limits.accept_poll_interval
-        if self.closes_at is None:
-            return wait
-        return min(self.closes_at - self.inbox.clock(), wait)
+    def _excess(self) -> int:
+        """Return by how many the clients without a first line exceed their limit."""
+        count = len(self.idle.waiting) + len(self.unopened)
+        return count - self.limits.max_unopened_clients
+
+    def _dismiss_excess(self) -> None:
+        """Dismiss clients without a first line over their limit; first those that sent nothing."""
+        excess = self._excess()
+        if excess > 0:
+            excess -= self._dismiss_oldest(excess)
+            self._dismiss_idle(excess)
+
+    def _dismiss_oldest(self, count: int) -> int:
+        """Dismiss clients that have sent nothing for `idle_grace`; return how many."""
+        latest = self.inbox.clock() - self.limits.idle_grace
+        for number in range(count):
+            client = self.idle.oldest()
+            if client is None or client.idle_since > latest:
+                return number
+            self.idle.dismiss(client, BUSY_REPLY, self.limits.idle_grace)
+            self.core.counters.add("clients_idle")
+        return count
+
+    def _expire_idle(self) -> None:
+        """End the clients that have sent nothing within `first_line_timeout`."""
+        latest = self.inbox.clock() - self.limits.first_line_timeout
+        while (client := self.idle.oldest()) is not None and client.accepted_at <= latest:
+            log.warning(event("client_invalid", reason="no first line before the timeout"))
+            self.core.counters.add("clients_odd")
+            self.idle.dismiss(client, ERROR_REPLY, self.limits.linger_timeout)
 
     def _dismiss_idle(self, count: int) -> None:
+        """Dismiss clients that have a thread, and no first line `idle_grace` after accepting."""
         latest = self.inbox.clock() - self.limits.idle_grace
         # Copy it in one call, since clients' threads change it concurrently.
         for client in list(self.unopened)[:count]:
@@ -180,34 +323,68 @@
                 self.core.counters.add("clients_idle")
 
     def _close(self) -> None:
-        """Admit or reject all clients in the backlog, then stop listening."""
-        self.sock.setblocking(False)
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                break
-            if self.slots.acquire(blocking=False):
-                self.admit(sock)
+        """Admit or reject all clients in the backlog, dismiss the idle ones, and stop listening."""
+        while (client := self._unplaced or self._accept()) is not None:
+            self._unplaced = None
+            if peek(client.sock) and self._take_slot():
+                self.admit(client.sock, client.accepted_at)
             else:
-                self._reject(sock)
+                self._reject(client.sock)
+        for client in self.idle.wait(0):
+            self._serve_ready(client)
+        while (client := self.idle.oldest()) is not None:
+            self.idle.dismiss(client, BUSY_REPLY, self.limits.idle_grace)
         self.sock.close()
 
+    def _leave_to_threads(self) -> None:
+        """Start threads for the clients that have sent nothing; another process accepts now."""
+        client, self._unplaced = self._unplaced, None
+        if client is not None:
+            if self._take_slot():
+                self.admit(client.sock, client.accepted_at)
+            else:
+                self._reject(client.sock)
+        for client in self.idle.take_all():
+            self.admit(client.sock, client.accepted_at)
+
+    def _linger(self) -> None:
+        """Close the dismissed connections, each at its time."""
+        while (due := self.idle.next_close()) is not None:
+            self.idle.wait(max(due - self.inbox.clock(), 0))
+            self.idle.close_lingering()
+
     def _reject(self, sock: socket.socket) -> None:
         """Reject a client for which there is no slot, without a thread.
 
         Received data is read first: closing a socket with unread data sends a reset, and the client
         could lose the reply.
         """
-        try:
+        with suppress(OSError):
             sock.setblocking(False)
-            sock.send(BUSY_REPLY)
+            data = b""
+            with suppress(BlockingIOError):
+                data = sock.recv(self.limits.max_line_bytes)
+            sock.send(self._reply_without_slot(data))
             sock.shutdown(socket.SHUT_WR)
             sock.recv(self.limits.max_line_bytes)
-        except OSError:
-            pass
         sock.close()
 
+    def _reply_without_slot(self, data: bytes) -> bytes:
+        """Return the reply to what a client has sent that gets no slot."""
+        lines = LineParser(self.limits.max_line_bytes)
+        lines.feed(data)
+        try:
+            line = lines.next_line()
+            if line == b"PING":
+                return self.core.ping_reply() + BUSY_REPLY
+            if line is not None:
+                self.inbox.post(self.core.on_no_slot, parse_open_request(line))
+        except ProtocolError as error:
+            log.warning(event("client_invalid", reason=error))
+            self.core.counters.add("clients_odd")
+            return ERROR_REPLY
+        return BUSY_REPLY
+
     def _serve(self, client: ClientConnection) -> None:
         self.clients[client] = None
         self.unopened[client] = None
--- a/cypresswalk/net/session.py
+++ b/cypresswalk/net/session.py
@@ -9,6 +9,7 @@
 
 ERROR_REPLY = b"ERR\r\n"
 BUSY_REPLY = b"BUSY\r\n"
+PONG_REPLY = b"PONG\r\n"
 
 
 def busy_reply(retry_after: int) -> bytes:
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -237,7 +237,7 @@
             self.listener.dismiss_unopened()
         return (
             self.listener.closed
-            and not self.listener.clients
+            and not self.listener.has_clients()
             and not self.inbox.queue.qsize()
             or self.clock() > self.exit_deadline
         )
--- /dev/null
+++ b/tests/service/test_silent_clients.py
@@ -0,0 +1,64 @@
+"""Crowds of clients that connect and send nothing, or hardly anything, beside honest requests."""
+
+import time
+from collections.abc import Callable
+
+import pytest
+from program_helpers import LineConnection, ServerDouble
+
+SOCKETS = 256
+CROWD = 900  # with the requests they fit into the backlog
+REQUESTS = 8
+TIMEOUT_MS = 1200  # of the requests
+
+
+def connect_crowd(
+    connect: Callable[[], LineConnection], first_bytes: bytes
+) -> list[LineConnection]:
+    """Return clients that send no more than their first bytes."""
+    crowd = []
+    for _ in range(CROWD):
+        client = connect()
+        client.sock.sendall(first_bytes)
+        crowd.append(client)
+    return crowd
+
+
+def assert_all_end(crowd: list[LineConnection], replies: set[str]) -> None:
+    """Check that each connection has one of these replies at first, and has ended."""
+    for client in crowd:
+        assert client.read_line() in replies
+        client.close()
+
+
+def test_requests_behind_a_full_backlog_of_silent_clients_are_served_in_time(start_program):
+    # Silent clients held all slots for 0.2 s each, and nobody behind them was accepted: requests
+    # had neither an answer nor an end for over three seconds.
+    program = start_program(ServerDouble(), sockets=SOCKETS)
+    crowd = connect_crowd(program.connect, b"")
+    started = time.monotonic()
+    requests = [program.open(f"q{i}", f"c=view,t=north,d={TIMEOUT_MS}") for i in range(REQUESTS)]
+    answers = [request.read_line() for request in requests]
+    assert time.monotonic() - started < TIMEOUT_MS / 1000
+    assert answers == [f"UP rq{i}" for i in range(REQUESTS)]
+    assert_all_end(crowd, {"BUSY", "ERR"})
+
+
+@pytest.mark.parametrize(
+    ("first_bytes", "replies"),
+    [(b"PING\r\n", {"PONG"}), (b"OPEN 12", {"BUSY", "ERR"})],
+    ids=["after-a-ping", "within-the-request"],
+)
+def test_requests_behind_clients_that_fall_silent_are_answered_in_time(
+    start_program, first_bytes, replies
+):
+    # As above, with clients that have their own thread, since they have sent something.
+    program = start_program(ServerDouble(), sockets=SOCKETS)
+    crowd = connect_crowd(program.connect, first_bytes)
+    started = time.monotonic()
+    requests = [program.open(f"q{i}", f"c=view,t=north,d={TIMEOUT_MS}") for i in range(REQUESTS)]
+    answers = [request.read_line().split(" ")[0] for request in requests]
+    assert time.monotonic() - started < TIMEOUT_MS / 1000
+    assert set(answers) <= {"UP", "BUSY"}
+    assert_all_end(crowd, replies)
+    assert program.open("q99").read_line() == "UP rq99"
--- a/tests/service/test_stop.py
+++ b/tests/service/test_stop.py
@@ -105,11 +105,11 @@
         self.admit = program.listener.admit
         program.listener.admit = self.wait_and_admit  # type: ignore[method-assign]
 
-    def wait_and_admit(self, sock: socket.socket) -> None:
+    def wait_and_admit(self, sock: socket.socket, accepted_at: int | None = None) -> None:
         """Wait for `may_go_on`, then call the listener's `admit`."""
         self.reached.set()
         assert self.may_go_on.wait(20)
-        self.admit(sock)
+        self.admit(sock, accepted_at)
 
 
 def test_stop_answers_every_client_in_the_backlog(tmp_path):
