Listener: a client is known before its thread runs, so that the process waits for it

Cause: the process ends once the listener is closed and `clients` is empty, and each client's own thread entered it there. Evidence: with threads that do not run yet, an admitted client is on no list (test). Change: `admit` enters the client before it starts the thread; a thread that can't be started takes it out again. Test: test_client_is_known_before_its_thread_runs, failed before, passes now. The crowd tests also hold the process to its descriptors.

--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -121,9 +121,13 @@
         except OSError as error:
             self._fail(sock, error)
             return
+        # Registered before its thread runs: the process may exit once there are no clients.
+        self.clients[client] = None
+        self.unopened[client] = None
         try:
             start_thread(lambda: self._serve(client), name="client")
         except RuntimeError as error:
+            self._forget(client)
             self._fail(sock, error)
 
     def _fail(self, sock: socket.socket, error: Exception) -> None:
@@ -386,11 +390,12 @@
         return BUSY_REPLY
 
     def _serve(self, client: ClientConnection) -> None:
-        self.clients[client] = None
-        self.unopened[client] = None
         try:
             client.run()
         finally:
-            self.clients.pop(client, None)
-            self.unopened.pop(client, None)
+            self._forget(client)
             self.slots.release()
+
+    def _forget(self, client: ClientConnection) -> None:
+        self.clients.pop(client, None)
+        self.unopened.pop(client, None)
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -1,5 +1,6 @@
-"""Tests of the listener while clients' threads add and remove clients concurrently."""
+"""Tests of the listener: clients without a slot, and what its threads see of each other."""
 
+import socket
 import sys
 from collections.abc import Iterator
 from threading import Event, Thread
@@ -8,8 +9,11 @@
 
 import pytest
 from core_helpers import LIMITS
+from program_helpers import LOOPBACK
 
+from cypresswalk.net import listener as listener_module
 from cypresswalk.net.clock import Clock
+from cypresswalk.net.counters import Counters
 from cypresswalk.net.inbox import Inbox
 from cypresswalk.net.listener import ClientListener
 
@@ -37,6 +41,27 @@
     sys.setswitchinterval(default_interval)
 
 
+@pytest.fixture
+def listener() -> Iterator[ClientListener]:
+    """Return a listener whose core only counts."""
+    core = cast(Any, SimpleNamespace(counters=Counters()))
+    listener = ClientListener((LOOPBACK, 0), core, Inbox(Clock()), LIMITS)
+    yield listener
+    listener.accepting = False
+    listener.sock.close()
+
+
+def test_client_is_known_before_its_thread_runs(listener, monkeypatch):
+    # The process exits once no client is known; one whose thread had not begun got no answer.
+    monkeypatch.setattr(listener_module, "start_thread", lambda run, name: None)
+    ours, theirs = socket.socketpair()
+    monkeypatch.setattr(listener_module, "ClientConnection", lambda *_: "client")
+    listener.admit(theirs)
+    ours.close()
+    theirs.close()
+    assert listener.has_clients()
+
+
 def test_idle_clients_can_be_dismissed_while_others_come_and_go(frequent_thread_switches):
     # In a soak run with many clients, "dictionary changed size during iteration" ended the thread
     # that accepts clients, which was restarted 20 ms later.
--- a/tests/service/test_silent_clients.py
+++ b/tests/service/test_silent_clients.py
@@ -1,10 +1,11 @@
 """Crowds of clients that connect and send nothing, or hardly anything, beside honest requests."""
 
+import os
 import time
 from collections.abc import Callable
 
 import pytest
-from program_helpers import LineConnection, ServerDouble
+from program_helpers import LineConnection, ProgramProcess, ServerDouble
 
 SOCKETS = 256
 CROWD = 900  # with the requests they fit into the backlog
@@ -24,6 +25,11 @@
     return crowd
 
 
+def assert_within_its_descriptors(program: ProgramProcess) -> None:
+    """Check that the program has no more descriptors open than it may have."""
+    assert len(os.listdir(f"/proc/{program.process.pid}/fd")) <= SOCKETS
+
+
 def assert_all_end(crowd: list[LineConnection], replies: set[str]) -> None:
     """Check that each connection has one of these replies at first, and has ended."""
     for client in crowd:
@@ -38,6 +44,7 @@
     crowd = connect_crowd(program.connect, b"")
     started = time.monotonic()
     requests = [program.open(f"q{i}", f"c=view,t=north,d={TIMEOUT_MS}") for i in range(REQUESTS)]
+    assert_within_its_descriptors(program)
     answers = [request.read_line() for request in requests]
     assert time.monotonic() - started < TIMEOUT_MS / 1000
     assert answers == [f"UP rq{i}" for i in range(REQUESTS)]
@@ -57,6 +64,7 @@
     crowd = connect_crowd(program.connect, first_bytes)
     started = time.monotonic()
     requests = [program.open(f"q{i}", f"c=view,t=north,d={TIMEOUT_MS}") for i in range(REQUESTS)]
+    assert_within_its_descriptors(program)
     answers = [request.read_line().split(" ")[0] for request in requests]
     assert time.monotonic() - started < TIMEOUT_MS / 1000
     assert set(answers) <= {"UP", "BUSY"}
