Listener: a process that accepts again after its successor died is not closed

Callers: at a stop after a failed upgrade the process could end while it still accepted, and the last clients got no answer; found by reading. Cause: `closed` is set whenever `run` ends, also when a successor accepts, and was never cleared; `_may_exit` relies on it. Evidence: the test. Change: `run` clears it. Test: test_listener_that_accepts_again_is_not_closed, failed before (never cleared within 10 s), passes now.

--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -93,6 +93,7 @@
         Runs in a thread of its own. A second call waits for the first to end.
         """
         with self._running:
+            self.closed = False
             self.sock.setblocking(False)
             while self.accepting and self._accept_timeout() > 0:
                 self._serve_once()
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -9,7 +9,7 @@
 
 import pytest
 from core_helpers import LIMITS
-from program_helpers import LOOPBACK
+from program_helpers import LOOPBACK, wait_until
 
 from cypresswalk.net import listener as listener_module
 from cypresswalk.net.clock import Clock
@@ -62,6 +62,20 @@
     assert listener.has_clients()
 
 
+def test_listener_that_accepts_again_is_not_closed(listener):
+    # After a successor had died, the process could exit while it still accepted clients.
+    listener.accepting = False
+    listener.run()
+    assert listener.closed
+    listener.accepting = True
+    thread = Thread(target=listener.run, daemon=True)
+    thread.start()
+    wait_until(lambda: not listener.closed)
+    listener.accepting = False
+    thread.join(3)
+    assert listener.closed
+
+
 def test_idle_clients_can_be_dismissed_while_others_come_and_go(frequent_thread_switches):
     # In a soak run with many clients, "dictionary changed size during iteration" ended the thread
     # that accepts clients, which was restarted 20 ms later.
