Clients without a slot are judged by when they connected, not by their latest byte

Cause: a client for which there is no slot is rejected after 0.25 s, but that time counted from the latest data, which was always 30 ms ago. Each client at the head of the backlog was kept until a slot was free, some 260 a second. Evidence: accept_wait_max_ms 2,864, slot_wait_us 8.8 s, 29 rejected. Change: the time since the connection was set up, which TCP_INFO tells of a connection on which nothing was sent yet.

--- a/cypresswalk/net/connection.py
+++ b/cypresswalk/net/connection.py
@@ -14,7 +14,9 @@
 # Linux's numbers of the TCP states after the peer has closed its side:
 # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING.
 PEER_CLOSED_STATES = frozenset((6, 7, 8, 9, 11))
-LAST_DATA_RECEIVED_OFFSET = 52  # in Linux's `struct tcp_info`: milliseconds since then, 32 bits
+# Offsets in Linux's `struct tcp_info`: milliseconds since then, 32 bits.
+LAST_DATA_SENT_OFFSET = 44
+LAST_DATA_RECEIVED_OFFSET = 52
 LINGER_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER that makes closing send a reset
 
 
@@ -85,18 +87,22 @@
         return b""
 
 
-def time_since_data(sock: socket.socket) -> int:
-    """Return how long ago the latest data arrived, in nanoseconds; 0 if that is not known.
+def time_since_connected(sock: socket.socket) -> int:
+    """Return how long ago an accepted connection was set up, in nanoseconds; 0 if not known.
 
-    Without any data the time counts from when the connection was set up. A program may accept a
-    connection, or read its data, much later than the kernel.
+    The program may accept it much later than the kernel. Nothing may have been sent on it: the
+    kernel tells the time since the latest data was sent, which at first is that of the set-up.
     """
-    size = LAST_DATA_RECEIVED_OFFSET + 4
+    return _time_from_tcp_info(sock, LAST_DATA_SENT_OFFSET)
+
+
+def _time_from_tcp_info(sock: socket.socket, offset: int) -> int:
+    """Return a time in Linux's `struct tcp_info` in nanoseconds; 0 if it is not known."""
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, offset + 4)
     except OSError:
         return 0
-    return struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0] * MILLISECOND
+    return struct.unpack_from("=I", info, offset)[0] * MILLISECOND
 
 
 class Connection:
@@ -176,8 +182,11 @@
         return state in PEER_CLOSED_STATES
 
     def time_since_data(self) -> int:
-        """Return how long ago the latest data arrived; see `time_since_data` of this module."""
-        return time_since_data(self.sock)
+        """Return how long ago the latest data arrived, in nanoseconds; 0 if that is not known.
+
+        Its thread may read it later, when many threads run.
+        """
+        return _time_from_tcp_info(self.sock, LAST_DATA_RECEIVED_OFFSET)
 
     def shutdown(self, how: int) -> None:
         """Shut down one or both directions, such as `socket.SHUT_WR`."""
--- a/cypresswalk/net/idle_clients.py
+++ b/cypresswalk/net/idle_clients.py
@@ -1,9 +1,9 @@
 """Clients that have sent nothing since they connected, watched by the accepting thread alone.
 
 A crowd of silent clients must cost little: they have no thread of their own, and as soon as their
-slots are needed the oldest ones are dismissed. A dismissed client has its reply and the end of
-stream. Its connection stays open for a while, since closing it would answer a first line that is
-still in transit with a reset, and the client could lose the reply.
+slots are needed the oldest ones are dismissed. A dismissed client has its reply. Its connection
+stays open for a while, since closing it would answer a first line that is still in transit with a
+reset, and the client could lose the reply.
 """
 
 import select
@@ -24,14 +24,14 @@
 
     Attributes:
         sock: The socket.
-        idle_since: When it connected, which may be long before it was accepted.
+        connected_at: When it connected, which may be long before it was accepted.
         accepted_at: When it was accepted.
         closes_at: When to close it, once it is dismissed.
         remaining_bytes: How much input is still read and discarded, once it is dismissed.
     """
 
     sock: socket.socket
-    idle_since: int
+    connected_at: int
     accepted_at: int
     closes_at: int = 0
     remaining_bytes: int = 0
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -75,8 +75,8 @@
     first_line_timeout: int = 2 * SECOND
     # The same if other clients wait for its slot; counts from when it connected.
     idle_grace: int = SECOND // 10
-    # A client that has sent something and for which there is no slot is rejected after this time,
-    # so that those behind it have their reply before their set-up timeouts.
+    # A client that has sent something and for which there is no slot is rejected this time after
+    # it connected, so that those behind it have their reply before their set-up timeouts.
     max_slot_wait: int = SECOND // 4
     # How often to look for a free slot while a client waits for one.
     slot_poll_interval: int = 5 * MILLISECOND
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -14,7 +14,7 @@
 from cypresswalk.model import SECOND
 from cypresswalk.net.clients import ClientConnection
 from cypresswalk.net.config import Address
-from cypresswalk.net.connection import peek, time_since_data
+from cypresswalk.net.connection import peek, time_since_connected
 from cypresswalk.net.core import Core
 from cypresswalk.net.errors import ProtocolError
 from cypresswalk.net.idle_clients import IdleClient, IdleClients
@@ -197,7 +197,7 @@
         if oldest is not None:
             due.append(oldest.accepted_at + self.limits.first_line_timeout)
             if self._excess() > 0:
-                due.append(oldest.idle_since + self.limits.idle_grace)
+                due.append(oldest.connected_at + self.limits.idle_grace)
         return max(min(due) - now, 0)
 
     def _accept_waiting(self) -> None:
@@ -225,14 +225,14 @@
             log.warning(event("accept_failed", error=error))
             self._retry_at = self.inbox.clock() + self.limits.accept_retry_pause
             return None
-        waited = time_since_data(sock)
+        waited = time_since_connected(sock)
         now = self.inbox.clock()
         counters = self.core.counters
         counters.add("clients")
         if waited >= self.limits.accept_retry_pause:
             counters.add("clients_accepted_late")
         counters.keep_largest("accept_wait_max_ms", waited // MILLISECOND)
-        return IdleClient(sock, idle_since=now - waited, accepted_at=now)
+        return IdleClient(sock, connected_at=now - waited, accepted_at=now)
 
     def _place(self, client: IdleClient) -> bool:
         """Serve, watch or reject an accepted client; return False if it has to wait for a slot."""
@@ -240,7 +240,7 @@
         if data is None:
             if self._take_slot():
                 self.idle.add(client)
-            elif self.inbox.clock() - client.idle_since >= self.limits.idle_grace:
+            elif self.inbox.clock() - client.connected_at >= self.limits.idle_grace:
                 self.core.counters.add("clients_idle")
                 self._reject(client.sock)
             else:
@@ -249,7 +249,7 @@
             client.sock.close()
         elif self._take_slot():
             self.admit(client.sock, client.accepted_at)
-        elif time_since_data(client.sock) >= self.limits.max_slot_wait:
+        elif self.inbox.clock() - client.connected_at >= self.limits.max_slot_wait:
             self._reject(client.sock)
         else:
             return False
@@ -305,7 +305,7 @@
         latest = self.inbox.clock() - self.limits.idle_grace
         for number in range(count):
             client = self.idle.oldest()
-            if client is None or client.idle_since > latest:
+            if client is None or client.connected_at > latest:
                 return number
             self.idle.dismiss(client, BUSY_REPLY, self.limits.idle_grace)
             self.core.counters.add("clients_idle")
--- a/tests/service/test_silent_clients.py
+++ b/tests/service/test_silent_clients.py
@@ -2,7 +2,9 @@
 
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from threading import Event, Thread
 
 import pytest
 from program_helpers import LineConnection, ProgramProcess, ServerDouble
@@ -11,6 +13,7 @@
 CROWD = 900  # with the requests they fit into the backlog
 REQUESTS = 8
 TIMEOUT_MS = 1200  # of the requests
+BYTE_PAUSE = 0.03  # seconds between two bytes of a client that sends its line byte by byte
 
 
 def connect_crowd(
@@ -25,6 +28,27 @@
     return crowd
 
 
+@contextmanager
+def sending_bytes(crowd: list[LineConnection]) -> Iterator[None]:
+    """Send a byte on each connection, again and again, but never a whole line."""
+    ended = Event()
+
+    def send() -> None:
+        """Send until `ended` is set."""
+        while not ended.wait(BYTE_PAUSE):
+            for client in crowd:
+                with suppress(OSError):
+                    client.sock.sendall(b"O")
+
+    thread = Thread(target=send, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        thread.join()
+
+
 def assert_within_its_descriptors(program: ProgramProcess) -> None:
     """Check that the program has no more descriptors open than it may have."""
     assert len(os.listdir(f"/proc/{program.process.pid}/fd")) <= SOCKETS
@@ -70,3 +94,20 @@
     assert set(answers) <= {"UP", "BUSY"}
     assert_all_end(crowd, replies)
     assert program.open("q99").read_line() == "UP rq99"
+
+
+def test_requests_behind_clients_that_send_byte_by_byte_are_answered_in_time(start_program):
+    # The time since their latest byte was always short, so none was rejected for want of a slot.
+    program = start_program(ServerDouble(), sockets=SOCKETS)
+    crowd = connect_crowd(program.connect, b"O")
+    with sending_bytes(crowd):
+        started = time.monotonic()
+        requests = [
+            program.open(f"q{i}", f"c=view,t=north,d={TIMEOUT_MS}") for i in range(REQUESTS)
+        ]
+        answers = [request.read_line().split(" ")[0] for request in requests]
+        assert time.monotonic() - started < TIMEOUT_MS / 1000
+    assert set(answers) <= {"UP", "BUSY"}
+    for client in crowd:
+        client.close()
+    assert program.open("q99").read_line() == "UP rq99"
