Clients that rest after a PING are not dismissed while silent ones can be

Callers saw: beside 1,200 silent clients that come again at once (1,024 descriptors), of the clients that rest up to 0.8 s after their PONG more than half were told to come again. Cause: over the limit of clients without a first line the oldest were dismissed; most of a crowd is younger than the grace, and whoever rests is oldest. Change: silent clients go first; one that has sent something goes only beyond the limit by themselves, or when no silent one holds a slot.

--- a/cypresswalk/net/idle_clients.py
+++ b/cypresswalk/net/idle_clients.py
@@ -104,7 +104,10 @@
         return min((client.closes_at for client in self.dismissed.values()), default=None)
 
     def dismiss(self, client: IdleClient, reply: bytes, linger: int) -> None:
-        """Send a waiting client its only reply, and close its connection after `linger`."""
+        """Send a waiting client its only reply, and close its connection after `linger`.
+
+        The end of stream comes only then: a crowd that returns at once is not made to hurry.
+        """
         descriptor = client.sock.fileno()
         del self.waiting[descriptor]
         self.dismissed[descriptor] = client
@@ -112,7 +115,6 @@
         client.remaining_bytes = self._limits.max_discarded_bytes
         with suppress(OSError):  # the next read finds the error
             client.sock.send(reply, socket.MSG_DONTWAIT)
-            client.sock.shutdown(socket.SHUT_WR)
 
     def close_oldest_dismissed(self) -> bool:
         """Close the connection that was dismissed first; return False if there is none."""
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -268,7 +268,8 @@
         if self._unplaced is None:
             self._unplaced = client
             self._unplaced_since = self.inbox.clock()
-        self._dismiss_idle(len(self.unopened))
+        if not self.idle.waiting:  # else the slot of one of these can be taken soon
+            self._dismiss_idle(len(self.unopened))
         self._log_shortage()
 
     def _log_shortage(self) -> None:
@@ -294,10 +295,13 @@
         return count - self.limits.max_unopened_clients
 
     def _dismiss_excess(self) -> None:
-        """Dismiss clients without a first line over their limit; first those that sent nothing."""
-        excess = self._excess()
+        """Dismiss clients without a first line over their limit.
+
+        Those that have sent something stay while there are enough others to dismiss.
+        """
+        self._dismiss_oldest(self._excess())
+        excess = len(self.unopened) - self.limits.max_unopened_clients
         if excess > 0:
-            excess -= self._dismiss_oldest(excess)
             self._dismiss_idle(excess)
 
     def _dismiss_oldest(self, count: int) -> int:
@@ -318,6 +322,8 @@
             log.warning(event("client_invalid", reason="no first line before the timeout"))
             self.core.counters.add("clients_odd")
             self.idle.dismiss(client, ERROR_REPLY, self.limits.linger_timeout)
+            with suppress(OSError):
+                client.sock.shutdown(socket.SHUT_WR)
 
     def _dismiss_idle(self, count: int) -> None:
         """Dismiss clients that have a thread, and no first line `idle_grace` after accepting."""
--- a/tests/service/test_silent_clients.py
+++ b/tests/service/test_silent_clients.py
@@ -14,6 +14,7 @@
 REQUESTS = 8
 TIMEOUT_MS = 1200  # of the requests
 BYTE_PAUSE = 0.03  # seconds between two bytes of a client that sends its line byte by byte
+IDLE_TIME = 0.5  # seconds; longer than the time after which an idle client may be dismissed
 
 
 def connect_crowd(
@@ -111,3 +112,18 @@
     for client in crowd:
         client.close()
     assert program.open("q99").read_line() == "UP rq99"
+
+
+def test_client_that_rests_after_a_ping_is_kept_beside_a_crowd_of_silent_ones(start_program):
+    # Honest clients that had their PONG were dismissed for a crowd, though others were idle.
+    program = start_program(ServerDouble(), sockets=SOCKETS)
+    resting = [program.connect() for _ in range(REQUESTS)]
+    for client in resting:
+        client.send_line("PING")
+        assert client.read_line() == "PONG"
+    crowd = connect_crowd(program.connect, b"")
+    time.sleep(IDLE_TIME)
+    for number, client in enumerate(resting):
+        client.send_line(f"OPEN r{number} 77 c=view,t=north,d={TIMEOUT_MS}")
+    assert [client.read_line() for client in resting] == [f"UP rr{i}" for i in range(REQUESTS)]
+    assert_all_end(crowd, {"BUSY", "ERR"})
