Handover: a state with a negative load is taken over

Callers saw: after an upgrade a server that was out by hand got flows again, where servers report their load. Cause: a server that reports under 0.7 in use has a negative load; the check of a handed-over state took any amount under 0 for malformed and refused the whole state. Change: a load may be any number but NaN; the error names the field and its value. Persisted state allowed negative loads already. Test: test_state_with_a_server_below_its_zero_load_is_taken_over, failed before (ProtocolError), passes now. The list of malformed states is refused as before; tests of the handover and golden bytes: 54 passed.

--- a/cypresswalk/net/handover_state.py
+++ b/cypresswalk/net/handover_state.py
@@ -30,6 +30,7 @@
     TIME = "time"  # by the predecessor's clock; 0 for never
     FLAG = "flag"
     AMOUNT = "amount"  # a number, at least 0, possibly infinite
+    LOAD = "load"  # a number, negative for a server with much capacity to spare
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +60,7 @@
     ServerField("fresh", "awaiting_first_pass", FieldKind.FLAG),
     ServerField("barred", "out_of_rotation", FieldKind.FLAG),
     ServerField("owed", "first_flow_pending", FieldKind.FLAG),
-    ServerField("strain", "load", FieldKind.AMOUNT),
+    ServerField("strain", "load", FieldKind.LOAD),
     ServerField("limit", "concurrency_limit", FieldKind.AMOUNT),
     ServerField("cut_delay", "delay_at_cut", FieldKind.AMOUNT),
     ServerField("delay", "message_delay", FieldKind.AMOUNT),
@@ -224,12 +225,24 @@
     match kind:
         case FieldKind.FLAG:
             return value is True
-        case FieldKind.AMOUNT:
+        case FieldKind.AMOUNT | FieldKind.LOAD:
             return float(value)
         case _:
             return int(value)
 
 
+def check_value(field: ServerField, value: int | float | bool) -> None:
+    """Raise ValueError if a server's value is out of its range."""
+    if field.kind is FieldKind.LOAD:
+        in_range = not math.isnan(value)
+    elif field.kind in (FieldKind.COUNT, FieldKind.AMOUNT):
+        in_range = value >= 0  # also false for NaN
+    else:
+        in_range = True
+    if not in_range:
+        raise ValueError(f"{field.key}={value} is out of its range")
+
+
 def decode_server(encoded: dict[str, Any]) -> ReceivedServer:
     """Decode a server. Raises KeyError, TypeError, ValueError or ConfigError if it is malformed."""
     server = Server(
@@ -245,15 +258,10 @@
         for field in SERVER_FIELDS
         if field.key in encoded
     }
-    amounts = [
-        values.get(field.key, 0)
-        for field in SERVER_FIELDS
-        if field.kind in (FieldKind.COUNT, FieldKind.AMOUNT)
-    ]
-    # A comparison with NaN is false, so that NaN is out of range too.
-    in_range = all(amount >= 0 for amount in amounts) and 0 < server.weight < math.inf
-    if not in_range:
-        raise ValueError(f"{encoded['name']}: a value is out of its range")
+    for field in SERVER_FIELDS:
+        check_value(field, values.get(field.key, 0))
+    if not 0 < server.weight < math.inf:
+        raise ValueError(f"{encoded['name']}: a weight of {server.weight}")
     sums = {key: decode_sum(encoded[key]) for key in SERVER_SUMS if key in encoded}
     address = parse_address(encoded["address"], "address")
     return ReceivedServer(server, address, encoded["name"], values, sums)
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -46,6 +46,22 @@
     assert len(predecessor.drivers.migrated) == 6
 
 
+def test_state_with_a_server_below_its_zero_load_is_taken_over():
+    # A server that reports little load has a negative one; the successor then refused the whole
+    # state, and a server taken out by hand got flows again.
+    predecessor = HandoverProcess()
+    assert predecessor.run_command("set-down", "s-0") == "OK"
+    predecessor.core.balancer.overload.on_utilization(
+        predecessor.now, predecessor.server("s-1"), 0.3
+    )
+    successor = HandoverProcess(predecessor)
+    successor.exchange_all()
+    predecessor.stop()
+    successor.exchange_all()
+    assert successor.server("s-0").out_of_rotation
+    assert successor.server("s-1").load == predecessor.server("s-1").load < 0
+
+
 def test_both_processes_together_hold_no_more_sessions_than_the_limit_of_one():
     predecessor = HandoverProcess(sockets=64)
     max_flows = predecessor.core.limits.max_flows
