Operators' listener: accept a caller only when there are not too many

Cause: beyond eight callers the oldest is told to end, in its own thread, and the next was accepted at once; accepting ran ahead of the threads. Change: accepting waits until no more than eight are left; a caller that has its reply and stays can be told to end like one without a line. Admitting a caller whose thread can't start no longer leaves it counted.

--- a/cypresswalk/net/admin.py
+++ b/cypresswalk/net/admin.py
@@ -1,12 +1,13 @@
 """The listener for operators: reads one command per connection and writes the reply.
 
 Each caller is served in a separate thread, as clients are, with bounds on its time and memory. The
-deciding thread executes the command and replies, ahead of all other events.
+deciding thread executes the command and replies, ahead of all other events. The next caller is
+accepted only when there are not too many, so that a crowd of them takes no further descriptors.
 """
 
 import logging
 import socket
-from threading import Lock
+from threading import Condition
 
 from cypresswalk.model import SECOND
 from cypresswalk.net.accepting import accept_connections
@@ -36,17 +37,19 @@
         self.inbox = inbox
         self.limits = limits
         self.sock = socket.create_server(address, backlog=limits.accept_backlog)
-        self._lock = Lock()  # guards the two below
-        # Callers without a complete line, the oldest first.
-        self._awaiting_line: dict[Connection, None] = {}
+        # Guards the three below; notified when a caller leaves or can be evicted.
+        self._changed = Condition()
         self._callers = 0  # number of connected callers
+        # Callers without a complete line or with their reply, the oldest first.
+        self._evictable: dict[Connection, None] = {}
+        self._evicted: set[Connection] = set()  # callers evicted that have not left yet
 
     def run(self) -> None:
         """Accept callers; runs in a separate thread and never returns."""
         retry_pause = self.limits.accept_retry_pause / SECOND
         for sock in accept_connections(self.sock, retry_pause, self._on_accept_failed):
             self._admit(sock)
-            self._evict_oldest()
+            self._make_room()
 
     def _on_accept_failed(self, error: OSError) -> None:
         log.warning(event("calls_accept_failed", error=error))
@@ -54,24 +57,48 @@
     def _admit(self, sock: socket.socket) -> None:
         try:
             caller = Connection(sock, self.limits)
-            with self._lock:
-                self._callers += 1
-                self._awaiting_line[caller] = None
-            start_thread(lambda: self._serve(caller))
-        except (OSError, RuntimeError) as error:
+        except OSError as error:
             log.error(event("caller_not_served", error=error))
             sock.close()
-
-    def _evict_oldest(self) -> None:
-        """End the oldest caller without a complete line if there are too many callers."""
-        with self._lock:
-            evicted = None
-            if self._callers > self.limits.max_admin_connections:
-                evicted = next(iter(self._awaiting_line), None)
-            if evicted is not None:
-                del self._awaiting_line[evicted]
-        if evicted is not None:
-            evicted.shutdown(socket.SHUT_RD)
+            return
+        with self._changed:
+            self._callers += 1
+            self._evictable[caller] = None
+        try:
+            start_thread(lambda: self._serve(caller))
+        except RuntimeError as error:
+            log.error(event("caller_not_served", error=error))
+            self._leave(caller)
+
+    def _make_room(self) -> None:
+        """Evict the oldest callers that can be if there are too many; wait until they have left."""
+        with self._changed:
+            while self._callers > self.limits.max_admin_connections:
+                staying = self._callers - len(self._evicted)
+                oldest = next(iter(self._evictable), None)
+                if staying > self.limits.max_admin_connections and oldest is not None:
+                    del self._evictable[oldest]
+                    self._evicted.add(oldest)
+                    oldest.shutdown(socket.SHUT_RD)  # its thread reads the end at once
+                self._changed.wait()
+
+    def _set_evictable(self, caller: Connection, evictable: bool) -> None:
+        with self._changed:
+            if not evictable:
+                self._evictable.pop(caller, None)
+            elif caller not in self._evicted:
+                self._evictable[caller] = None
+                self._changed.notify()
+
+    def _leave(self, caller: Connection) -> None:
+        """Close a caller's connection, and let the next caller be accepted."""
+        with self._changed:
+            self._evictable.pop(caller, None)
+        caller.close()
+        with self._changed:
+            self._callers -= 1
+            self._evicted.discard(caller)
+            self._changed.notify()
 
     def _serve(self, caller: Connection) -> None:
         try:
@@ -79,14 +106,12 @@
             if reply:
                 caller.send_nowait(reply)
                 caller.shutdown(socket.SHUT_WR)
+                self._set_evictable(caller, True)
                 self._discard_input(caller)
         except OSError:
             pass  # the caller has closed the connection
         finally:
-            with self._lock:
-                self._awaiting_line.pop(caller, None)
-                self._callers -= 1
-            caller.close()
+            self._leave(caller)
 
     def _reply(self, caller: Connection) -> bytes:
         """Return the reply; empty if the caller disconnected without sending anything."""
@@ -97,8 +122,7 @@
             return error_reply(str(error))
         if command is None:
             return b""
-        with self._lock:
-            self._awaiting_line.pop(caller, None)
+        self._set_evictable(caller, False)
         self.inbox.post_urgent(self.core.commands.on_command, command)
         reply = command.wait_for_reply(self.limits.admin_call_timeout)
         if reply is None:
