Silent clients leave a reserve of slots to requests, and are not made to hurry

Cause: a silent client took the slot of a dismissed one at once, and was dismissed 0.1 s after it had connected whenever there were more than a quarter. Change: silent clients get slots down to a reserve, which is for clients that have sent something, and keep theirs until it is needed or their 2 s are over. Beyond it each is rejected 0.15 s after it connected (max_slot_wait, the same for all clients without a slot).

--- a/cypresswalk/net/idle_clients.py
+++ b/cypresswalk/net/idle_clients.py
@@ -12,7 +12,6 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from cypresswalk.net.clock import Clock
 from cypresswalk.net.limits import MILLISECOND, Limits
 
 READABLE = select.POLLIN
@@ -45,7 +44,7 @@
         dismissed: The clients that have their final reply, by descriptor, oldest first.
     """
 
-    def __init__(self, clock: Clock, limits: Limits, release_slot: Callable[[], None]):
+    def __init__(self, clock: Callable[[], int], limits: Limits, release_slot: Callable[[], None]):
         """Create it without clients; `release_slot` is called whenever a connection is closed."""
         self.waiting: dict[int, IdleClient] = {}
         self.dismissed: dict[int, IdleClient] = {}
@@ -60,24 +59,24 @@
         self.waiting[descriptor] = client
         self._poll.register(descriptor, READABLE)
 
-    def wait(self, timeout: int, listener: socket.socket | None = None) -> list[IdleClient]:
-        """Wait until a client has sent something or has ended, or another client can be accepted.
+    def wait(self, timeout: int, other: socket.socket | None = None) -> list[IdleClient]:
+        """Wait until a client has sent something or has ended.
 
         Args:
             timeout: The longest time to wait, in nanoseconds.
-            listener: The listening socket, if further clients are to be accepted.
+            other: Another socket, such as the listening one, that ends the wait when it is ready.
 
         Returns:
             The clients that have sent something or have ended, which are no longer watched.
         """
-        if listener is not None:
-            self._poll.register(listener, READABLE)
+        if other is not None:
+            self._poll.register(other, READABLE)
         try:
             # Rounded up, so that a timeout of under a millisecond does not make this a busy loop.
             events = self._poll.poll(-(-timeout // MILLISECOND))
         finally:
-            if listener is not None:
-                self._poll.unregister(listener)
+            if other is not None:
+                self._poll.unregister(other)
         ready = []
         for descriptor, _ in events:
             if descriptor in self.dismissed:
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -75,9 +75,9 @@
     first_line_timeout: int = 2 * SECOND
     # The same if other clients wait for its slot; counts from when it connected.
     idle_grace: int = SECOND // 10
-    # A client that has sent something and for which there is no slot is rejected this time after
-    # it connected, so that those behind it have their reply before their set-up timeouts.
-    max_slot_wait: int = SECOND // 4
+    # A client for which there is no slot is rejected this time after it connected, so that those
+    # behind it have their reply before their set-up timeouts.
+    max_slot_wait: int = 150 * MILLISECOND
     # How often to look for a free slot while a client waits for one.
     slot_poll_interval: int = 5 * MILLISECOND
     # Most bytes to read and discard after the final reply; reading them costs as much as reading
@@ -206,6 +206,11 @@
         """Return the limit of connected clients, without one that is accepted and has no slot."""
         return max(self.max_flows + self.max_unopened_clients - 1, 1)
 
+    @property
+    def reserved_slots(self) -> int:
+        """Return the number of slots that are kept for clients that have sent something."""
+        return self.max_unopened_clients // 2
+
     @property
     def max_lingering_connections(self) -> int:
         """Return the limit of connections to servers that briefly outlive their flow.
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -165,7 +165,7 @@
         for client in self.idle.wait(self._wait_time(), self._socket_to_poll()):
             self._serve_ready(client)
         self._accept_waiting()
-        self._dismiss_excess()
+        self._restore_reserve()
         self._expire_idle()
         self.idle.close_lingering()
 
@@ -178,9 +178,10 @@
             self.slots.release()
 
     def _socket_to_poll(self) -> socket.socket | None:
-        """Return the listening socket if another client may be accepted now."""
-        may_accept = self._unplaced is None and self.inbox.clock() >= self._retry_at
-        return self.sock if may_accept else None
+        """Return the listening socket, or that of a client without a slot that is still silent."""
+        if self._unplaced is not None:
+            return self._unplaced.sock if peek(self._unplaced.sock) is None else None
+        return self.sock if self.inbox.clock() >= self._retry_at else None
 
     def _wait_time(self) -> int:
         """Return how long nothing has to be done unless a client connects, sends or ends."""
@@ -196,7 +197,7 @@
         oldest = self.idle.oldest()
         if oldest is not None:
             due.append(oldest.accepted_at + self.limits.first_line_timeout)
-            if self._excess() > 0:
+            if self._missing_slots() > 0:
                 due.append(oldest.connected_at + self.limits.idle_grace)
         return max(min(due) - now, 0)
 
@@ -237,24 +238,29 @@
     def _place(self, client: IdleClient) -> bool:
         """Serve, watch or reject an accepted client; return False if it has to wait for a slot."""
         data = peek(client.sock)
-        if data is None:
-            if self._take_slot():
-                self.idle.add(client)
-            elif self.inbox.clock() - client.connected_at >= self.limits.idle_grace:
-                self.core.counters.add("clients_idle")
-                self._reject(client.sock)
-            else:
-                return False
-        elif not data:
+        if data is None and self._missing_slots() < 0 and self.slots.acquire(blocking=False):
+            self.idle.add(client)
+        elif data == b"":
             client.sock.close()
-        elif self._take_slot():
+        elif data and self._take_slot():
             self.admit(client.sock, client.accepted_at)
         elif self.inbox.clock() - client.connected_at >= self.limits.max_slot_wait:
+            if data is None:
+                self.core.counters.add("clients_idle")
             self._reject(client.sock)
         else:
             return False
         return True
 
+    def _missing_slots(self) -> int:
+        """Return how many slots are missing in the reserve; negative if there are more.
+
+        Clients that have sent nothing leave the reserve to others. Slots of dismissed clients count
+        as free, since they can be taken at once.
+        """
+        free = self.limits.client_slots - len(self.clients) - len(self.idle.waiting)
+        return self.limits.reserved_slots - free
+
     def _take_slot(self) -> bool:
         """Acquire a slot, if necessary that of a dismissed client or of one that is idle."""
         if self.slots.acquire(blocking=False):
@@ -289,17 +295,12 @@
             )
         )
 
-    def _excess(self) -> int:
-        """Return by how many the clients without a first line exceed their limit."""
-        count = len(self.idle.waiting) + len(self.unopened)
-        return count - self.limits.max_unopened_clients
-
-    def _dismiss_excess(self) -> None:
-        """Dismiss clients without a first line over their limit.
+    def _restore_reserve(self) -> None:
+        """Dismiss clients that have sent nothing while slots are missing in the reserve.
 
-        Those that have sent something stay while there are enough others to dismiss.
+        Those that have sent something, but no whole line, have a limit of their own.
         """
-        self._dismiss_oldest(self._excess())
+        self._dismiss_oldest(self._missing_slots())
         excess = len(self.unopened) - self.limits.max_unopened_clients
         if excess > 0:
             self._dismiss_idle(excess)
--- a/tests/service/test_sockets.py
+++ b/tests/service/test_sockets.py
@@ -311,11 +311,15 @@
     arrives next would then be answered with a reset, which discards the answer before it is read.
     """
     program = start_program(ServerDouble(), sockets=64)
+    # Clients that have sent something have a thread each, which reads until the dismissal.
     slow = program.connect()
+    slow.send_line("PING")
+    assert slow.read_line() == "PONG"
     time.sleep(0.15)  # longer than `Limits.idle_grace`: its slot may be taken from it
     others: list[LineConnection] = []
     while len(others) < 24 and not is_readable(slow.sock, 0.01):
         others.append(program.connect())  # one by one: the listener looks for idle clients at each
+        others[-1].send_line("PING")
     assert slow.read_line() == "BUSY"
     for _ in range(3):
         slow.sock.sendall(b"OPEN m1 77 c=view,t=north,d=800")  # the second would fail after a reset
