Listener: closing ends though clients connect without end

Cause: `_close` accepted until the backlog was empty, which a crowd that returns at once can prevent. Found by reading. Change: at most as many clients as the backlog holds. Test: test_listener_closes_though_clients_connect_without_end, failed before (did not return within 5 s), passes now.

--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -335,8 +335,14 @@
                 self.core.counters.add("clients_idle")
 
     def _close(self) -> None:
-        """Admit or reject all clients in the backlog, dismiss the idle ones, and stop listening."""
-        while (client := self._unplaced or self._accept()) is not None:
+        """Admit or reject all clients in the backlog, dismiss the idle ones, and stop listening.
+
+        Whoever connects meanwhile is reset: a crowd that returns at once must not delay the end.
+        """
+        for _ in range(self.limits.accept_backlog + 1):
+            client = self._unplaced or self._accept()
+            if client is None:
+                break
             self._unplaced = None
             if peek(client.sock) and self._take_slot():
                 self.admit(client.sock, client.accepted_at)
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -14,6 +14,7 @@
 from cypresswalk.net import listener as listener_module
 from cypresswalk.net.clock import Clock
 from cypresswalk.net.counters import Counters
+from cypresswalk.net.idle_clients import IdleClient
 from cypresswalk.net.inbox import Inbox
 from cypresswalk.net.listener import ClientListener
 
@@ -76,6 +77,22 @@
     assert listener.closed
 
 
+def test_listener_closes_though_clients_connect_without_end(listener, monkeypatch):
+    # Beside a crowd that returns at once the backlog need not get empty; until the listener is
+    # closed, clients that rest after a PING are not told to come again.
+    def accept() -> IdleClient:
+        """Return a client that has ended."""
+        ours, theirs = socket.socketpair()
+        ours.close()
+        return IdleClient(theirs, connected_at=0, accepted_at=0)
+
+    monkeypatch.setattr(listener, "_accept", accept)
+    closing = Thread(target=listener._close, daemon=True)
+    closing.start()
+    closing.join(5)
+    assert not closing.is_alive()
+
+
 def test_idle_clients_can_be_dismissed_while_others_come_and_go(frequent_thread_switches):
     # In a soak run with many clients, "dictionary changed size during iteration" ended the thread
     # that accepts clients, which was restarted 20 ms later.
