Endpoint list: indentation is dropped on arrival and does not count toward the limit

Cause: an object of over 1 MiB is refused, indentation counted, and the same call was repeated for good. Change: blanks after a line end are dropped as they arrive; no string of valid JSON holds a line end. Not taken: a larger limit, which takes memory and fails at the next wider indentation.

--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -47,7 +47,7 @@
     max_gossip_bytes: int = 256
     # Bytes of a line of the client, server and admin protocols.
     max_line_bytes: int = 4 * KIB
-    # Bytes of one object of the endpoint list: about ten thousand servers.
+    # Bytes of one object of the endpoint list without indentation: some five thousand servers.
     max_list_bytes: int = MIB
     # Bytes read at once from discovery.
     list_read_bytes: int = 64 * KIB
--- a/cypresswalk/net/parsers/json_stream.py
+++ b/cypresswalk/net/parsers/json_stream.py
@@ -10,6 +10,8 @@
 MAX_DEPTH = 32  # levels of nesting; an endpoint list has four, and decoding uses stack for each
 MAX_QUOTED = 60  # bytes of malformed input that an error quotes
 WHITESPACE = b" \t\r\n"
+BLANKS = b" \t"
+INDENTATION = re.compile(rb"\n[ \t]+")  # never within a string, which holds no line end
 LINE_END = ord("\n")
 OBJECT_START = ord("{")
 STRUCTURE = re.compile(rb'["{}\[\]]')  # the tokens that matter outside a string
@@ -23,11 +25,11 @@
     """Splits a stream into objects and empty lines.
 
     An object may arrive in pieces or be indented over several lines. One line may hold several
-    objects.
+    objects. Indentation is dropped on arrival, so that it takes no memory and does not count.
 
     Attributes:
-        buffer: Received bytes that are not returned yet.
-        max_bytes: Length limit of one object.
+        buffer: Received bytes that are not returned yet, without indentation.
+        max_bytes: Length limit of one object, without indentation.
     """
 
     def __init__(self, max_bytes: int):
@@ -38,10 +40,16 @@
         self._depth = 0  # number of its open brackets
         self._in_string = False
         self._line_has_text = False  # whether the current line of the stream is not empty
+        self._at_line_start = False  # whether nothing but indentation came since a line end
 
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
-        self.buffer.add(data)
+        if self._at_line_start:
+            data = data.lstrip(BLANKS)
+        if data:
+            data = INDENTATION.sub(b"\n", data)
+            self._at_line_start = data.endswith(b"\n")
+            self.buffer.add(data)
 
     def next_value(self) -> object | None:
         """Return the next object as a dict, or HEARTBEAT; None if more bytes are needed.
--- a/tests/net/parsers/test_json_stream.py
+++ b/tests/net/parsers/test_json_stream.py
@@ -48,6 +48,21 @@
         assert received.count(HEARTBEAT) == sum(end.count(b"\n") - 1 for *_, end in sent)
 
 
+@SEEDED
+@given(st.integers(1, 40), PIECE_SIZES)
+def test_indentation_does_not_count_toward_the_length_of_an_object(indent, sizes):
+    # An indented list of 3,200 servers was longer than the limit: the same call was repeated for
+    # good, and no drain was heard any more.
+    value = {"instances": [{"instanceId": f"s \n{i}"} for i in range(40)]}
+    parser = JsonStreamParser(len(json.dumps(value, indent=0)))
+    received = []
+    for piece in pieces(json.dumps(value, indent=indent).encode(), sizes):
+        parser.feed(piece)
+        while (object_or_heartbeat := parser.next_value()) is not None:
+            received.append(object_or_heartbeat)
+    assert received == [value]
+
+
 @pytest.mark.parametrize(
     "data",
     [b"[" * 100_000, b'{"a":' * 100, b"[1]", b"nothing", b'{"a":}', b'{"a":"' + b"x" * 999, b"}"],
