--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -16,12 +16,11 @@
 from cypresswalk.net.config import Address
 from cypresswalk.net.connection import peek, time_since_connected
 from cypresswalk.net.core import Core
-from cypresswalk.net.errors import ProtocolError
 from cypresswalk.net.idle_clients import IdleClient, IdleClients
 from cypresswalk.net.inbox import Inbox
 from cypresswalk.net.limits import MICROSECOND, MILLISECOND, Limits
 from cypresswalk.net.logs import event
-from cypresswalk.net.parsers.lines import LineParser, parse_open_request
+from cypresswalk.net.rejecter import ClientRejecter
 from cypresswalk.net.session import BUSY_REPLY, ERROR_REPLY
 from cypresswalk.net.threads import start_thread
 
@@ -80,6 +79,7 @@
         self.closes_at: int | None = None
         self.closed = False
         self._shared = shared
+        self._rejecter = ClientRejecter(core, inbox, limits)
         self._running = Lock()  # held by `run`
         self._unplaced: IdleClient | None = None  # accepted, and waits for a slot
         self._unplaced_since = 0  # when it was accepted
@@ -247,7 +247,7 @@
         elif self.inbox.clock() - client.connected_at >= self.limits.max_slot_wait:
             if data is None:
                 self.core.counters.add("clients_idle")
-            self._reject(client.sock)
+            self._rejecter.reject(client.sock)
         else:
             return False
         return True
@@ -347,7 +347,7 @@
             if peek(client.sock) and self._take_slot():
                 self.admit(client.sock, client.accepted_at)
             else:
-                self._reject(client.sock)
+                self._rejecter.reject(client.sock)
         for client in self.idle.wait(0):
             self._serve_ready(client)
         while (client := self.idle.oldest()) is not None:
@@ -361,7 +361,7 @@
             if self._take_slot():
                 self.admit(client.sock, client.accepted_at)
             else:
-                self._reject(client.sock)
+                self._rejecter.reject(client.sock)
         for client in self.idle.take_all():
             self.admit(client.sock, client.accepted_at)
 
@@ -371,38 +371,6 @@
             self.idle.wait(max(due - self.inbox.clock(), 0))
             self.idle.close_lingering()
 
-    def _reject(self, sock: socket.socket) -> None:
-        """Reject a client for which there is no slot, without a thread.
-
-        Received data is read first: closing a socket with unread data sends a reset, and the client
-        could lose the reply.
-        """
-        with suppress(OSError):
-            sock.setblocking(False)
-            data = b""
-            with suppress(BlockingIOError):
-                data = sock.recv(self.limits.max_line_bytes)
-            sock.send(self._reply_without_slot(data))
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(self.limits.max_line_bytes)
-        sock.close()
-
-    def _reply_without_slot(self, data: bytes) -> bytes:
-        """Return the reply to what a client has sent that gets no slot."""
-        lines = LineParser(self.limits.max_line_bytes)
-        lines.feed(data)
-        try:
-            line = lines.next_line()
-            if line == b"PING":
-                return self.core.ping_reply() + BUSY_REPLY
-            if line is not None:
-                self.inbox.post(self.core.on_no_slot, parse_open_request(line))
-        except ProtocolError as error:
-            log.warning(event("client_invalid", reason=error))
-            self.core.counters.add("clients_odd")
-            return ERROR_REPLY
-        return BUSY_REPLY
-
     def _serve(self, client: ClientConnection) -> None:
         try:
             client.run()
