Endpoint list: the pause between calls for a pushed list fits into the grace of a drain

Cause: failed calls are up to 1.3 s apart, a figure from the 6 s within which any change must be known; `drainGrace` was read nowhere. Where lists are pushed, what the agent has counts as told at once. Change: the longest pause of a pushed list is such that with jitter, a call and 0.3 s to read and apply the list it fits into `drainGrace`. A grace of 1.6 s and more, and polled lists, keep 1 s.

--- a/cypresswalk/net/config.py
+++ b/cypresswalk/net/config.py
@@ -8,7 +8,7 @@
 from cypresswalk.hosting import SettingsError, decode_settings, nanoseconds
 from cypresswalk.model import SECOND, Settings
 from cypresswalk.net.errors import ConfigError
-from cypresswalk.net.limits import Limits
+from cypresswalk.net.limits import MAX_LIST_RETRY_PAUSE, Limits, longest_list_retry_pause
 
 Address = tuple[str, int]  # a numeric IPv4 address and a port
 MAX_PORT = 65535
@@ -179,5 +179,13 @@
         ),
         # A delay of up to a third of the smallest objective does not count as overload.
         min_reported_delay=min(objectives, default=SECOND) // 3,
+        max_list_retry_pause=_max_list_retry_pause(params, settings),
         admin_enabled=admin_enabled,
     )
+
+
+def _max_list_retry_pause(params: dict[str, Any], settings: Settings) -> int:
+    drain_grace = params["rules"].get("drainGrace")
+    if settings.list_polled or drain_grace is None:
+        return MAX_LIST_RETRY_PAUSE
+    return longest_list_retry_pause(nanoseconds(drain_grace, "drainGrace"))
--- a/cypresswalk/net/discovery.py
+++ b/cypresswalk/net/discovery.py
@@ -12,14 +12,12 @@
 from cypresswalk.net.core import Core
 from cypresswalk.net.errors import ProtocolError
 from cypresswalk.net.inbox import Inbox
-from cypresswalk.net.limits import MILLISECOND, Limits
+from cypresswalk.net.limits import LIST_RETRY_JITTER, MILLISECOND, Limits
 from cypresswalk.net.logs import event
 from cypresswalk.net.parsers.endpoint_list import EndpointListDecoder
 from cypresswalk.net.parsers.http import ResponseParser, encode_get_request
 from cypresswalk.net.parsers.json_stream import HEARTBEAT, JsonStreamParser
 
-MIN_JITTER = 0.7  # factor of a pause
-MAX_JITTER = 1.3  # likewise
 HTTP_OK = 200
 log = logging.getLogger(__name__)
 
@@ -79,7 +77,9 @@
 
     def run(self) -> None:
         """Follow the list until the watch ends; runs in a separate thread."""
-        pause = self.limits.min_list_retry_pause
+        longest = self.limits.max_list_retry_pause
+        shortest = min(self.limits.min_list_retry_pause, longest)
+        pause = shortest
         retry = False
         while not self.ended:
             if self.polled and not retry:
@@ -87,18 +87,13 @@
             self._update_requested.clear()
             timed_out = self._follow_logged()
             self.inbox.post(self.on_failure)
-            if self._received:
-                pause = self.limits.min_list_retry_pause
-            else:
-                pause = min(2 * pause, self.limits.max_list_retry_pause)
+            pause = shortest if self._received else min(2 * pause, longest)
+            wait = longest if self.polled else pause
             if timed_out and self._received:
                 # The silence has used up most of the time within which a change must be applied.
                 wait = 0
-            else:
-                wait = self.limits.max_list_retry_pause if self.polled else pause
-            retry = not self.ended and not self._update_requested.wait(
-                wait * self._random.uniform(MIN_JITTER, MAX_JITTER) / SECOND
-            )
+            jitter = self._random.uniform(1 - LIST_RETRY_JITTER, 1 + LIST_RETRY_JITTER)
+            retry = not self.ended and not self._update_requested.wait(wait * jitter / SECOND)
 
     def _follow_logged(self) -> bool:
         """Follow the list until a failure and log it; return whether it was a timeout."""
--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -13,6 +13,25 @@
 MIB = 1 << 20
 # Interval at which discovery sends an empty line while nothing changes.
 LIST_HEARTBEAT_INTERVAL = 2 * SECOND
+# The part by which a pause between calls for the endpoint list varies, up or down.
+LIST_RETRY_JITTER = 0.3
+# Time to call discovery, read a list and apply it, and for which the process may be held up.
+LIST_REFRESH_TIME = 300 * MILLISECOND
+MAX_LIST_RETRY_PAUSE = SECOND
+LEAST_LIST_RETRY_PAUSE = 50 * MILLISECOND
+
+
+def longest_list_retry_pause(drain_grace: int) -> int:
+    """Return the longest pause between calls for a pushed list, before jitter, in nanoseconds.
+
+    What discovery's agent has counts as known, whether or not a call is open. So a drain must be
+    heard within its grace even if discovery returns just after a call has failed.
+
+    Args:
+        drain_grace: How long a server may get new flows after its drain is known, in nanoseconds.
+    """
+    longest = int((drain_grace - LIST_REFRESH_TIME) / (1 + LIST_RETRY_JITTER))
+    return max(min(longest, MAX_LIST_RETRY_PAUSE), LEAST_LIST_RETRY_PAUSE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,9 +147,9 @@
     list_call_timeout: int = 3 * SECOND // 2
     # After this time any other address of discovery knows what the one used before knew.
     list_convergence_time: int = 4 * SECOND
-    # The pause between calls doubles from the smallest to the largest; each varies by up to 30%.
+    # The pause between calls doubles from the smallest to the largest, with jitter.
     min_list_retry_pause: int = SECOND // 5
-    max_list_retry_pause: int = SECOND
+    max_list_retry_pause: int = MAX_LIST_RETRY_PAUSE
     # How long reading a file is retried at SIGHUP; it is usually a file that is half written.
     reload_retry_time: int = 2 * SECOND
 
--- a/tests/net/test_config.py
+++ b/tests/net/test_config.py
@@ -6,9 +6,9 @@
 from helpers import config_data
 
 from cypresswalk.model import SECOND
-from cypresswalk.net.config import load
+from cypresswalk.net.config import build, load
 from cypresswalk.net.errors import ConfigError
-from cypresswalk.net.limits import Limits
+from cypresswalk.net.limits import LIST_RETRY_JITTER, MILLISECOND, Limits
 
 
 def test_unusable_configuration_is_refused_with_the_reason(tmp_path):
@@ -56,3 +56,16 @@
     limits = limits_of(1024, memory_mb=32)
     assert limits.max_flows * limits.flow_memory + limits.program_memory <= limits.max_memory
     assert limits.max_flows > 150
+
+
+@pytest.mark.parametrize("grace_ms", [400, 750, 1500, 3000])
+def test_pause_between_calls_for_a_pushed_list_fits_into_the_grace_of_a_drain(grace_ms):
+    # With a grace of 0.75 s, flows went to draining servers for up to 1.1 s after discovery had
+    # returned, since it returned during a pause of up to 1.3 s.
+    rules = config_data()["settings"]["rules"] | {"drainGrace": float(grace_ms)}
+    pushed = build({}, config_data(rules=rules, discovery="pushed")).limits
+    held_up = 150 * MILLISECOND  # the longest time for which the grace has to cover the process
+    pause = pushed.max_list_retry_pause * (1 + LIST_RETRY_JITTER)
+    assert pause + held_up < grace_ms * MILLISECOND
+    polled = build({}, config_data(rules=rules, discovery="on_request")).limits
+    assert polled.max_list_retry_pause == SECOND
