Lab: an answer that the lab read late counts from the beginning of its own stall

Change: stalls of over 50 ms are observations (`lab_late`); an answer read in one, or within the slack after it, counts from its beginning. What is late even so is a violation as before; the two histories that say so are in the tests. Other checks are unchanged.

--- a/cypresswalk/lab/history.py
+++ b/cypresswalk/lab/history.py
@@ -110,6 +110,8 @@
         # The latest list version that each balancer was notified of.
         self.list_versions: dict[str, int] = {}
         self.scenario_end = NEVER
+        # Start and end of each time for which the lab read nothing.
+        self.lab_stalls: list[tuple[int, int]] = []
         # Flow id and balancer of each id that a misbehaving client repeated.
         self.repeated_ids: set[tuple[str, str]] = set()
         # Side and port of each connection that an injected fault hit.
@@ -125,6 +127,14 @@
             else:
                 self._read_host_observation(observation)
 
+    def earliest_arrival(self, at: int, slack: int) -> int:
+        """Return the earliest time at which what the lab read at a time may have arrived.
+
+        After a stall the lab needs a while, the slack, to read all that has arrived meanwhile.
+        """
+        starts = [since for since, until in self.lab_stalls if since <= at <= until + slack]
+        return min(starts, default=at)
+
     def balancer_died(self, balancer: str, since: int, until: int, slack: int) -> bool:
         """Return whether a balancer ended between two times, widened by the slack at both ends."""
         deaths = self.balancer_deaths[balancer]
@@ -185,6 +195,8 @@
             case "told" if not self._outdated(observation):
                 update = (observation.at, observation.fields["life"])
                 self.list_updates[subject, observation.fields["server"]].append(update)
+            case "lab_late":
+                self.lab_stalls.append((observation.fields["since"], observation.at))
             case "day_ended":
                 self.scenario_end = observation.at
 
--- a/cypresswalk/lab/observations.py
+++ b/cypresswalk/lab/observations.py
@@ -67,6 +67,7 @@
     "echo": "a line came back: took_ms, person",
     "fault": "an injected fault hit a connection: who (client or server, the side of the balancers"
     " that it is on), ports, kind",
+    "lab_late": "the lab's event loop runs again after it was late: since (when it had to run)",
     "day_ended": "the scenario ended",
 }
 
--- a/cypresswalk/lab/play.py
+++ b/cypresswalk/lab/play.py
@@ -12,16 +12,13 @@
 from cypresswalk.lab.result import ScenarioResult
 from cypresswalk.lab.rules import Rules, Violation
 from cypresswalk.lab.source_tree import source_tree
-from cypresswalk.lab.testbed.bed import ScenarioTestBed
+from cypresswalk.lab.testbed.bed import LATENESS_TOLERANCE, ScenarioTestBed
 from cypresswalk.lab.testbed.client_driver import ClientDriver
 from cypresswalk.lab.testbed.misbehaving_clients import misbehave
 from cypresswalk.lab.testbed.resting_clients import RestingClients
 from cypresswalk.lab.testbed.server_driver import ServerDriver
 from cypresswalk.lab.units import MILLISECOND, SECOND
 
-# The slack that the rules allow beyond each limit. If the lab itself is later than that, a late
-# event can't be attributed to the balancer.
-LATENESS_TOLERANCE = 50 * MILLISECOND
 MAX_LATE_SHARE = 0.01  # of the lateness checks
 MAX_LATENESS = 400 * MILLISECOND  # about a tenth of a connect timeout
 HEAD_START = 100 * MILLISECOND  # between the balancers' readiness and the first clients
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -75,6 +75,11 @@
     return observation(at, "let_go", "f", "s0", number=number)
 
 
+def lab_late(since, at):
+    """Return the observation that the lab's event loop was late."""
+    return observation(at, "lab_late", "", "", since=since * MILLISECOND)
+
+
 def lines(side, said, heard):
     """Return the observation of the lines that one side of a connection sent and received."""
     return observation(900, "lines", "f", "b0", side=side, said=said, heard=heard, number=1)
@@ -129,6 +134,10 @@
             [sent(0), attempt(5), let_go(400), *second_attempt(402)],
             id="retry after the attempt timeout",
         ),
+        pytest.param(
+            [sent(0), attempt(5), reply(980), lab_late(985, 1150), answer(1160)],
+            id="answer that came while the lab was late",
+        ),
         pytest.param(
             [
                 sent(0),
@@ -243,6 +252,16 @@
         (ONE_ANSWER, "ended (end) with no answer", [sent(0), ended(40, "end")]),
         (ONE_ANSWER, "a second final answer", [sent(0), BUSY, answer(6, "failed", "ERR")]),
         (ONE_ANSWER, "answered 60 ms after", [sent(0), attempt(5), reply(1050), answer(1060)]),
+        (  # the lab read what had arrived until 1060 ms; the answer was not among it
+            ONE_ANSWER,
+            "answered 60 ms after",
+            [sent(0), attempt(5), reply(1050), lab_late(1060, 1160), answer(1165)],
+        ),
+        (  # the lab had read all that had arrived by then
+            ONE_ANSWER,
+            "answered 60 ms after",
+            [sent(0), attempt(5), reply(1050), lab_late(900, 1000), answer(1060)],
+        ),
         (ONE_ANSWER, "after its final answer", [sent(0), BUSY, attempt(80)]),
         (
             ONE_ANSWER,
