Silent clients are dismissed while few slots are free, so that the next ones need not wait

Change: clients silent for 0.1 s are dismissed while fewer slots are free than twice the reserve; they linger meanwhile, as before.

--- a/cypresswalk/net/limits.py
+++ b/cypresswalk/net/limits.py
@@ -230,6 +230,14 @@
         """Return the number of slots that are kept for clients that have sent something."""
         return self.max_unopened_clients // 2
 
+    @property
+    def idle_client_headroom(self) -> int:
+        """Return the number of free slots under which clients that have sent nothing are dismissed.
+
+        It is above the reserve, so that the next clients need not wait for a slot.
+        """
+        return 2 * self.reserved_slots
+
     @property
     def max_lingering_connections(self) -> int:
         """Return the limit of connections to servers that briefly outlive their flow.
--- a/cypresswalk/net/listener.py
+++ b/cypresswalk/net/listener.py
@@ -165,7 +165,7 @@
         for client in self.idle.wait(self._wait_time(), self._socket_to_poll()):
             self._serve_ready(client)
         self._accept_waiting()
-        self._restore_reserve()
+        self._restore_headroom()
         self._expire_idle()
         self.idle.close_lingering()
 
@@ -197,7 +197,7 @@
         oldest = self.idle.oldest()
         if oldest is not None:
             due.append(oldest.accepted_at + self.limits.first_line_timeout)
-            if self._missing_slots() > 0:
+            if self._free_slots() < self.limits.idle_client_headroom:
                 due.append(oldest.connected_at + self.limits.idle_grace)
         return max(min(due) - now, 0)
 
@@ -238,7 +238,7 @@
     def _place(self, client: IdleClient) -> bool:
         """Serve, watch or reject an accepted client; return False if it has to wait for a slot."""
         data = peek(client.sock)
-        if data is None and self._missing_slots() < 0 and self.slots.acquire(blocking=False):
+        if data is None and self._take_unreserved_slot():
             self.idle.add(client)
         elif data == b"":
             client.sock.close()
@@ -252,14 +252,15 @@
             return False
         return True
 
-    def _missing_slots(self) -> int:
-        """Return how many slots are missing in the reserve; negative if there are more.
+    def _free_slots(self) -> int:
+        """Return the number of slots that are free or held by dismissed clients."""
+        return self.limits.client_slots - len(self.clients) - len(self.idle.waiting)
 
-        Clients that have sent nothing leave the reserve to others. Slots of dismissed clients count
-        as free, since they can be taken at once.
-        """
-        free = self.limits.client_slots - len(self.clients) - len(self.idle.waiting)
-        return self.limits.reserved_slots - free
+    def _take_unreserved_slot(self) -> bool:
+        """Acquire a slot for a client that has sent nothing; the reserve is for others."""
+        if self._free_slots() <= self.limits.reserved_slots:
+            return False
+        return self.slots.acquire(blocking=False)
 
     def _take_slot(self) -> bool:
         """Acquire a slot, if necessary that of a dismissed client or of one that is idle."""
@@ -295,12 +296,12 @@
             )
         )
 
-    def _restore_reserve(self) -> None:
-        """Dismiss clients that have sent nothing while slots are missing in the reserve.
+    def _restore_headroom(self) -> None:
+        """Dismiss clients that have sent nothing while there are few free slots.
 
         Those that have sent something, but no whole line, have a limit of their own.
         """
-        self._dismiss_oldest(self._missing_slots())
+        self._dismiss_oldest(self.limits.idle_client_headroom - self._free_slots())
         excess = len(self.unopened) - self.limits.max_unopened_clients
         if excess > 0:
             self._dismiss_idle(excess)
