--- a/review/sites.py
+++ b/review/sites.py
@@ -1,4 +1,4 @@
-"""Settings of a small deployment, with the figures of mekong-queue's site file."""
+"""Settings of small deployments, with the figures of the operators' site files."""
 
 from typing import Any
 
@@ -105,3 +105,57 @@
         "weights": "nominal",
         "zone": index % len(ZONES),
     }
+
+
+DANANG_ZONE = "danang-room1"
+DANANG_KINDS = ("std-2c", "slow-2c")
+DANANG_TYPES = (
+    ("consent-sync", 0.44, 800.0, 4800.0, 5.0),
+    ("schedule-view", 0.31, 800.0, 4800.0, 1.0),
+    ("checkin-feed", 0.25, 300.0, 1200.0, 1.0),
+)
+
+
+def danang_settings(index: int, balancers: int) -> dict[str, Any]:
+    """Return the settings that a balancer of danang-schools is given."""
+    base = mekong_settings(index, balancers)
+    prices = {"crossZone": 0.0, "lateFail": 0.094, "moves": 0.028, "peer": 0.0, "probe": 0.002}
+    return base | {
+        "azs": [DANANG_ZONE],
+        "zone": 0,
+        "kinds": list(DANANG_KINDS),
+        "stages": ["screening-live"],
+        "stats": {"via": "pull", "fields": ["x0", "qps", "inflight"]},
+        "tenants": [],
+        "deductions": base["deductions"] | prices | {"waste": 0.2},
+        "extra": base["extra"]
+        | {
+            "messageAim": [100.0, 100.0, 60.0],
+            "reportX0": "load asked of the server over what it can do",
+            "tellsLoad": False,
+            "tenantQuotaConnections": [],
+        },
+        "limits": base["limits"]
+        | {
+            "connIdle": 5000.0,
+            "dialTimeout": 60.0,
+            "maxConnects": 3,
+            "peerMessages": False,
+            "retryAfter": False,
+        },
+        "rules": base["rules"]
+        | {
+            "cold": 24000.0,
+            "coldShare": 0.14,
+            "drainGrace": 1000.0,
+            "fall": 3000.0,
+            "overloadFactor": 3.0,
+        },
+        "resultMix": {"whole": 0.55, "worstClass": 0.3, "worstTenant": 0.0, "worstWindow": 0.15},
+        "serviceTypes": [
+            entry | {"name": name, "setupTarget": target, "giveUp": give_up, "payoff": payoff}
+            for entry, (name, _, target, give_up, payoff) in zip(
+                base["serviceTypes"], DANANG_TYPES, strict=True
+            )
+        ],
+    }
