Review: receipts and times in the records no longer look like addresses

Change: receipts end in a hyphen and a number, and times of the records are milliseconds; what is played and judged is the same.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -88,8 +88,8 @@
             request.answer = b""
             request.took = now() - sent_at
         self.record.add(
-            f"{ident} {name} gets {request.answer!r} after {request.took:.3f} s "
-            f"of {request.timeout:.1f} s"
+            f"{ident} {name} gets {request.answer!r} after {1000 * request.took:.0f} ms "
+            f"of {1000 * request.timeout:.0f} ms"
         )
         with suppress(OSError, TimeoutError):
             if request.answer is not None and request.answer.startswith(b"UP "):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -176,7 +176,7 @@
         took = now() - began
         code = await judge(record, traffic, servers)
         record.say(
-            f"before: {REQUESTS} requests in {took:.1f} s, {traffic.served} served, "
+            f"before: {REQUESTS} requests in {1000 * took:.0f} ms, {traffic.served} served, "
             f"{traffic.turned_away} turned away, {traffic.unanswered} without an answer"
         )
         for client in standing:
@@ -199,7 +199,9 @@
             answer = await traffic.misbehave(ident)
         age = now() - opened
         still = "open" if traffic.open.get(ident) == opened else "over by now"
-        record.add(f"id {ident}, open for {age:.1f} s, {still}: a bad client gets {answer!r}")
+        record.add(
+            f"id {ident}, open for {1000 * age:.0f} ms, {still}: a bad client gets {answer!r}"
+        )
         if answer.startswith(b"UP ") and still == "open":
             served[ident] = age
     for ident in since:
--- a/review/world.py
+++ b/review/world.py
@@ -204,7 +204,7 @@
             ident = line.split(" ")[1]
             self.runs.append((now(), ident))
             self.record.add(f"{self.name} runs {ident}")
-            writer.write(f"UP {self.name}.{len(self.runs)}\r\n".encode())
+            writer.write(f"UP {self.name}-{len(self.runs)}\r\n".encode())
         elif line == "PING":
             writer.write(b"PONG\r\n")
         elif line == "STATS":
