Metrics: processor time of the deciding thread by kind of work, and the oldest event

Change: WorkTimes counts the deciding thread's processor time by event, decisions, timers and starts of attempts and checks; `counters` and `end` show it with the whole process's time, the oldest event and the wake-ups that decisions asked for.

--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -249,6 +249,7 @@
             case Subscribe():
                 self.drivers.request_endpoints()
             case ScheduleWakeup(delay):
+                self.counters.add("wakeups")
                 self.timers.schedule(now + delay, self.balancer.on_wakeup)
 
     def start_attempt(
--- a/cypresswalk/service/program.py
+++ b/cypresswalk/service/program.py
@@ -35,6 +35,7 @@
 from cypresswalk.net.servers import ServerConnection
 from cypresswalk.net.session import Attempt, Session
 from cypresswalk.net.threads import start_thread
+from cypresswalk.net.work_times import WorkTimes
 
 if TYPE_CHECKING:  # imported at run time only if the operator enables them
     from cypresswalk.fleet.core_binding import CoreBinding
@@ -72,6 +73,7 @@
         self.clock = Clock()
         self.inbox = Inbox(self.clock)
         self.counters = Counters()
+        self.work_times = WorkTimes()
         self.core = core(config, self, self.counters, self.clock(), policy)
         decoder = EndpointListDecoder(config.zones)
         try:
@@ -214,6 +216,7 @@
                 at, call, args = item
                 # The reading threads set the events' times, so these may be slightly out of order.
                 last = max(last, at)
+                self.work_times.on_event(self.clock() - at)
                 while not calls.empty():
                     urgent_call, urgent_args = calls.get_nowait()
                     last = max(last, self.clock())
@@ -244,6 +247,7 @@
 
     def _call_guarded(self, call: Callable[..., object], now: int, *args: object) -> None:
         """Call a function and log any exception: a fault in one flow must not end the others."""
+        previous = self.work_times.switch(getattr(call, "__name__", "other").removeprefix("on_"))
         try:
             call(now, *args)
         except Exception:
@@ -251,6 +255,8 @@
             name = getattr(call, "__qualname__", call)
             log.error(event("fault", call=name), exc_info=True)
             time.sleep(self.limits.fault_pause / SECOND)
+        finally:
+            self.work_times.switch(previous)
 
     def stop(self, now: int) -> None:
         """Shut down gracefully, on SIGTERM or SIGINT."""
@@ -306,7 +312,11 @@
 
     def log_counters(self, now: int) -> None:
         """Log the counters, on SIGUSR1."""
-        log.info(f"event=counters {self.counters.line()}")
+        log.info(f"event=counters {self.figures()}")
+
+    def figures(self) -> str:
+        """Return the counters, and how processor time was spent, for a log line."""
+        return f"{self.counters.line()} {self.work_times.fields()}"
 
     # Called by the handover between two processes of one balancer.
 
@@ -352,11 +362,14 @@
             attempt, address, line, self.core, self.inbox, self.limits, self.server_slots
         )
         attempt.connection = connection
+        previous = self.work_times.switch("connect")
         try:
             start_thread(connection.run)
         except RuntimeError as error:
             log.error(event("connect_not_started", error=error))
             self.inbox.post(self.core.on_attempt_ended, attempt, Outcome.CONNECT_FAILED)
+        finally:
+            self.work_times.switch(previous)
 
     def start_relay(self, attempt: Attempt) -> None:
         """Start relaying lines."""
@@ -390,7 +403,9 @@
 
     def check_health(self, server: Server, address: Address) -> None:
         """Check a server's health."""
+        previous = self.work_times.switch("check_health")
         self.health_checker.check(server, address)
+        self.work_times.switch(previous)
 
     def request_endpoints(self) -> None:
         """Request the endpoint list's changes."""
@@ -482,7 +497,7 @@
         )
     )
     program.run()
-    log.info(f"event=end {program.counters.line()}")
+    log.info(f"event=end {program.figures()}")
     logging.shutdown()
     # Other threads still read. If the interpreter ended them while one logs, it could abort.
     os._exit(0)
