Health checks of a large fleet: fewer, by a few threads; new servers join together

Cause: the schedule's pace is computed as if each server were checked once in 5 s, but servers that are unknown or rising are checked each second, so 2,000 servers had up to 575 checks a second where the flows pay for 250. At most 64 connections are kept, so nearly each check made a new one, in a thread of its own. 3,300 of 10,500 went to draining servers that held no flow of this balancer. And each server that came up had the table built anew for the next flow.

Change, over 250 ready servers: two checks a flow at most (50 a second with few flows) by the schedule's clock; a failure is confirmed in real time; the second check of a new server comes as before, the third at the pace of healthy ones; a draining server is checked while it holds flows, and at once when it is ready again; servers that come up join the table together every 50 us for each server beyond 250. At all sizes checks share a few threads, and reads have the kernel's time limit (three calls less).

Why it works: what a dead server costs is the time until it is noticed, which confirming in real time shortens more than rarer checks lengthen.

--- a/cypresswalk/decisions/balancer.py
+++ b/cypresswalk/decisions/balancer.py
@@ -24,6 +24,7 @@
 from cypresswalk.decisions.hashing import Draws
 from cypresswalk.decisions.health import (
     FAST_INTERVAL,
+    LARGE_FLEET,
     HealthCheckSchedule,
     is_up,
     record_result,
@@ -63,6 +64,8 @@
 )
 
 MAX_SLEEP = 60 * SECOND  # until the next wake-up when nothing is due; any value works
+# Nanoseconds for each server beyond LARGE_FLEET, so that building tables takes little of the time.
+JOIN_PAUSE_PER_SERVER = 50_000
 # Names of the sums that a handover transfers; the state folder stores all of them but "borne".
 HANDED_OVER_SUMS = ("carried", "borne", "arrivals", "hints", "setup_time", "setups")
 
@@ -143,6 +146,8 @@
         self._queue = FlowQueue()
         self._silent_flows: dict[Flow, None] = {}  # to migrate: their servers don't respond
         self._next_wakeup_at = 0
+        self._servers_changed_at = now
+        self._joins_due_at: int | None = None  # servers that went up are included from then on
 
     def sums(self) -> dict[str, DecayingSum]:
         """Return the sums that a handover transfers, by their names on the wire."""
@@ -225,7 +230,21 @@
         self.retry_budget.spend_all(now)
         self.slow_start.spend_all(now)
 
+    def _on_server_up(self, now: int) -> None:
+        """Include a server that went up: at once, or in a large fleet together with the next ones.
+
+        The tables of a large fleet are built anew at a limited rate while many servers join.
+        """
+        pause = max(len(self.servers) - LARGE_FLEET, 0) * JOIN_PAUSE_PER_SERVER
+        due = self._servers_changed_at + pause
+        if now >= due:
+            self._mark_servers_stale(now)
+        elif self._joins_due_at is None:
+            self._joins_due_at = due
+
     def _mark_servers_stale(self, now: int) -> None:
+        self._servers_changed_at = now
+        self._joins_due_at = None
         self.placement.mark_stale(now)
         self.slow_start.mark_stale()
 
@@ -255,12 +274,14 @@
         flow.attempts.append(server)
         flow.established = True
         assign_established(flow, server)
+        self.health_checks.schedule_again(now, server)
 
     def on_established(self, now: int, flow: Flow, took: int) -> None:
         """Record that the flow's latest attempt succeeded after `took` nanoseconds."""
         server = flow.server
         assert server is not None, "the flow has no attempt in progress"
         flow.established = True
+        flow.slow_start_draw = None
         server.pending_flows.pop(flow, None)
         server.established_flows[flow] = None
         self._queue.capacity_freed = True
@@ -354,7 +375,9 @@
         if utilization is not None:
             self.overload.on_utilization(now, server, utilization)
         self.health_checks.schedule_next(now, server)
-        if changed:
+        if changed and is_up(server):
+            self._on_server_up(now)
+        elif changed:
             self._mark_servers_stale(now)
         self.reviews.request(now, server)
 
@@ -401,6 +424,8 @@
         return self._wake_up(now)
 
     def _place_next(self, now: int) -> StartAttempt | Reject | Abort | None:
+        if self._joins_due_at is not None and now >= self._joins_due_at:
+            self._mark_servers_stale(now)
         unplaced = self._queue.unplaced
         while unplaced:
             flow = unplaced.popleft()
--- a/cypresswalk/decisions/endpoints.py
+++ b/cypresswalk/decisions/endpoints.py
@@ -39,6 +39,7 @@
             update: the kind of update; servers that a full or cached list doesn't name are gone.
             entries: the servers as listed; the object of a new server is kept and updated later.
         """
+        self._health_checks.ready_servers = self._count_ready(update, entries)
         for entry in entries:
             known = self._servers.get(entry.id)
             if known is None:
@@ -51,6 +52,14 @@
                 if server.id not in named:
                     server.state = ServerState.GONE
 
+    def _count_ready(self, update: EndpointUpdate, entries: list[Server]) -> int:
+        """Return how many servers are ready after the update."""
+        states = {}
+        if update is EndpointUpdate.DELTA:
+            states = {server.id: server.state for server in self._servers.values()}
+        states |= {entry.id: entry.state for entry in entries}
+        return sum(state is ServerState.READY for state in states.values())
+
     def _add(self, now: int, server: Server, is_new: bool) -> None:
         self._servers[server.id] = server
         server.health = RISE - 1
@@ -68,6 +77,8 @@
         server.weight = entry.weight
         server.started_at = entry.started_at
         server.state = entry.state
+        if server.state is ServerState.READY:
+            self._health_checks.schedule_again(now, server)
 
     def _restart(self, now: int, server: Server) -> None:
         """Reset the state of a server that was restarted."""
--- a/cypresswalk/decisions/health.py
+++ b/cypresswalk/decisions/health.py
@@ -3,9 +3,10 @@
 The counter works like HAProxy's: a pass adds one, a failure subtracts one, and a server is up from
 RISE on. The jittered interval between checks depends on the counter. The schedule uses its own
 clock, which runs at normal speed if checks are cheap, and slower if this balancer's flows can't pay
-for checks at that rate.
+for checks at that rate, or if a large fleet would be checked more often than flows arrive.
 """
 
+import math
 from heapq import heappop, heappush
 
 from cypresswalk.decisions.hashing import Draws
@@ -21,6 +22,11 @@
 JITTER = 0.1  # of an interval
 FIRST_CHECK_JITTER = 0.9
 MAX_POINTS_PER_FLOW = 0.01  # limit on the cost of checks per flow, as a fraction of its value
+# Servers; a check of a larger fleet mostly needs a new connection, so its checks are limited, too.
+LARGE_FLEET = 250
+MAX_CHECKS_PER_FLOW = 2  # of a large fleet: connections for checks per connection for a flow
+MIN_FRACTION_SEEN = 0.02  # of the arrivals in a time constant, after which their rate is estimated
+NOT_SCHEDULED = -1  # `next_check_at` of a server that needs no checks
 
 
 def is_up(server: Server) -> bool:
@@ -35,6 +41,16 @@
     return server.health >= RISE or not server.checked
 
 
+def needs_checks(server: Server) -> bool:
+    """Return whether it matters to this balancer if the server is healthy.
+
+    A server that drains gets no new flows; its health matters to the flows that it still has.
+    """
+    if server.state is ServerState.DRAINING:
+        return bool(server.established_flows or server.pending_flows)
+    return server.state is ServerState.READY
+
+
 def reset_health(server: Server) -> None:
     """Reset the health of a server that was restarted."""
     server.health = RISE - 1
@@ -63,12 +79,13 @@
 
     Args:
         settings: the deployment's settings.
-        servers: all servers that the list has ever named, by id; only their number is read.
+        servers: all servers that the list has ever named, by id.
         traffic: the arrivals at this balancer, which pay for checks.
         draws: the random numbers for the jitter.
         now: the current time in nanoseconds.
 
     Attributes:
+        ready_servers: the number of servers that the list names as ready.
         requested: servers to check right away for waiting flows; the last one is checked first.
     """
 
@@ -89,17 +106,46 @@
         self._clock_read_at = now
         self._heap: list[tuple[int, int, Server]] = []
         self._entries = 0
+        self._rate = 0.0  # of arrivals, as last computed
+        self._rate_read_at = -1
+        self.ready_servers = 0
         self.requested: list[Server] = []
 
     def slowdown(self, now: int) -> float:
         """Return how many times slower than real time the schedule's clock runs, at least 1."""
-        if not self.settings.health_check_price:
+        price = self.settings.health_check_price
+        limited = self._large_fleet_slowdown(now)
+        if limited > 1:
+            affordable = (
+                self._arrival_rate(now) * MAX_POINTS_PER_FLOW / price if price else math.inf
+            )
+            return max(limited, self.ready_servers / HEALTHY_INTERVAL / affordable)
+        return self._price_slowdown(now)
+
+    def _price_slowdown(self, now: int) -> float:
+        """Return the slowdown by which this balancer's flows can pay for the checks, or 1."""
+        price = self.settings.health_check_price
+        if not price:
             return 1.0
-        affordable = (
-            self._traffic.arrival_rate(now) * MAX_POINTS_PER_FLOW / self.settings.health_check_price
-        )
+        affordable = self._traffic.arrival_rate(now) * MAX_POINTS_PER_FLOW / price
         return max(1.0, len(self._servers) / HEALTHY_INTERVAL / affordable)
 
+    def _large_fleet_slowdown(self, now: int) -> float:
+        """Return the slowdown by which a large fleet's checks are within their limit, or 1."""
+        if self.ready_servers <= LARGE_FLEET:
+            return 1.0
+        allowed = max(LARGE_FLEET / HEALTHY_INTERVAL, MAX_CHECKS_PER_FLOW * self._arrival_rate(now))
+        return max(1.0, self.ready_servers / HEALTHY_INTERVAL / allowed)
+
+    def _arrival_rate(self, now: int) -> float:
+        """Return the estimated arrivals per nanosecond, also soon after the start."""
+        if now != self._rate_read_at:
+            traffic = self._traffic
+            fraction_seen = traffic.arrivals.accumulated_fraction(now, traffic.started_at)
+            self._rate = traffic.arrival_rate(now) / max(fraction_seen, MIN_FRACTION_SEEN)
+            self._rate_read_at = now
+        return self._rate
+
     def clock(self, now: int) -> int:
         """Advance the schedule's clock to now and return it, in nanoseconds."""
         self._clock += int((now - self._clock_read_at) / self.slowdown(now))
@@ -114,6 +160,10 @@
         """
         slowdown = self.slowdown(now)
         spread = (1 - 1 / slowdown) / slowdown if server.awaiting_first_pass else 1.0
+        if not server.awaiting_first_pass and self._large_fleet_slowdown(now) > 1:
+            spread = HEALTHY_INTERVAL / (
+                2 * FAST_INTERVAL
+            )  # the first round takes a whole interval
         clock = self.clock(now)
         wait = self._draws.jittered(FAST_INTERVAL, FIRST_CHECK_JITTER)
         self._schedule(server, clock + int(wait * spread))
@@ -127,17 +177,37 @@
         if server.next_check_at > self.clock(now):
             self._schedule(server, self.clock(now))
 
+    def schedule_again(self, now: int, server: Server) -> None:
+        """Schedule a check of a server if none is, because it needs checks again."""
+        if server.next_check_at == NOT_SCHEDULED:
+            self.schedule_now(now, server)
+
     def schedule_next(self, now: int, server: Server) -> None:
-        """Schedule the check that follows a recorded result."""
+        """Schedule the check that follows a recorded result.
+
+        In a large fleet that is checked seldom, a failure is confirmed in real time, and a new
+        server's second check comes as soon as in other fleets. After that a server that has passed
+        is checked no more often than a healthy one: first at a random moment, so that the checks of
+        servers that started together spread.
+        """
+        jitter = JITTER
         if server.health == MAX_HEALTH:
             interval = HEALTHY_INTERVAL
-        elif server.health > 0 or server.failed_checks < FALL:
+        elif server.health == 0 and server.failed_checks >= FALL:
+            interval = DOWN_INTERVAL
+        else:
             # One lost check must not keep out for long a server that never failed before.
             interval = FAST_INTERVAL
-        else:
-            interval = DOWN_INTERVAL
+            if self._large_fleet_slowdown(now) > 1:
+                if server.failed_checks:
+                    interval = int(FAST_INTERVAL / self.slowdown(now))
+                elif server.health > RISE:
+                    interval = HEALTHY_INTERVAL // 2
+                    jitter = FIRST_CHECK_JITTER
+                else:
+                    interval = int(FAST_INTERVAL * self._price_slowdown(now) / self.slowdown(now))
         clock = self.clock(now)
-        self._schedule(server, clock + self._draws.jittered(interval, JITTER))
+        self._schedule(server, clock + self._draws.jittered(interval, jitter))
 
     def _schedule(self, server: Server, clock: int) -> None:
         server.next_check_at = clock
@@ -157,10 +227,14 @@
         while self._heap and self._heap[0][0] <= clock:
             due, _, server = heappop(self._heap)
             # An entry is stale once the check was rescheduled or is in progress.
-            is_stale = due != server.next_check_at or server.check_in_flight
-            if not is_stale and server.state is not ServerState.GONE:
+            if due != server.next_check_at or server.check_in_flight:
+                continue
+            if self.ready_servers <= LARGE_FLEET or needs_checks(server):
+                if server.state is ServerState.GONE:
+                    continue
                 server.check_in_flight = True
                 return server
+            server.next_check_at = NOT_SCHEDULED
         return None
 
     def next_due_at(self, now: int) -> int | None:
--- a/cypresswalk/decisions/slow_start.py
+++ b/cypresswalk/decisions/slow_start.py
@@ -237,22 +237,26 @@
         """
         warm_up_time = self.settings.warm_up_time
         base_flows = max(flows_per_window, MIN_FLOWS_PER_WINDOW)
-        budgets: dict[int, float] = {}  # by start time; servers mostly start together
+        # Servers that started together have mostly spent the same.
+        draws: dict[tuple[int, float, int], tuple[float, float]] = {}
         amounts: dict[Server, float] = {}
         first_flows = []
         for server in self._started:
             started_at = server.started_at
             if now - started_at >= warm_up_time:
                 continue
-            budget = budgets.get(started_at)
-            if budget is None:
-                fraction = self._warm_up.fraction(now, server)
-                budget = budgets[started_at] = self.settings.overload_factor * fraction * base_flows
             spent = server.slow_start_spent
-            left = budget - spent.read(now)
-            if left > 0.0:
-                amount = left if left < 1.0 else 1.0
-                spent.total += amount
+            before = (started_at, spent.total, spent.updated_at)
+            draw = draws.get(before)
+            if draw is None:
+                budget = (
+                    self.settings.overload_factor * self._warm_up.fraction(now, server) * base_flows
+                )
+                amount = min(max(budget - spent.read(now), 0.0), 1.0)
+                draw = draws[before] = (spent.total + amount, amount)
+            spent.total, amount = draw
+            spent.updated_at = now
+            if amount:
                 amounts[server] = amount
             if (
                 server.first_flow_pending
--- a/cypresswalk/net/health_checks.py
+++ b/cypresswalk/net/health_checks.py
@@ -1,16 +1,17 @@
 """Health checks of servers."""
 
 import socket
-from threading import Lock, Semaphore
+from queue import SimpleQueue
+from threading import Lock
 from typing import NamedTuple
 
-from cypresswalk.model import SECOND, Server, ServerState
+from cypresswalk.model import Server, ServerState
 from cypresswalk.net.config import Address
-from cypresswalk.net.connection import dial, receive_line
+from cypresswalk.net.connection import dial, receive_line, timeval
 from cypresswalk.net.core import Core
 from cypresswalk.net.errors import ProtocolError
 from cypresswalk.net.inbox import Inbox
-from cypresswalk.net.limits import Limits
+from cypresswalk.net.limits import MICROSECOND, Limits
 from cypresswalk.net.parsers.lines import LineParser
 from cypresswalk.net.parsers.load_reports import parse_load_fields
 from cypresswalk.net.threads import start_thread
@@ -37,10 +38,11 @@
 
 
 class HealthChecker:
-    """The health checker, which runs each check in a thread of its own.
+    """The health checker, which runs checks in a few threads, started as they are needed.
 
-    The connection of a passed check is kept for the next one, since a new connection costs the
-    server more than a check.
+    There are at most as many threads as there are descriptors for running checks. The connection of
+    a passed check is kept for the next one, since a new connection costs the server more than a
+    check.
     """
 
     def __init__(self, core: Core, inbox: Inbox, limits: Limits, load_fields: list[str]):
@@ -58,17 +60,39 @@
         self.load_fields = load_fields
         self._idle: dict[Server, IdleConnection] = {}
         self._idle_lock = Lock()
-        self._slots = Semaphore(limits.max_running_health_checks)
+        self._queue: SimpleQueue[tuple[Server, Address]] = SimpleQueue()
+        self._count_lock = Lock()
+        self._unfinished = 0  # checks that are queued or running
+        self._workers = 0  # threads
 
     def check(self, server: Server, address: Address) -> None:
         """Start a check and report its result to the core; called by the deciding thread."""
         with self._idle_lock:
             for other in [s for s in self._idle if s.state is ServerState.GONE]:
                 self._idle.pop(other).sock.close()
+        with self._count_lock:
+            self._unfinished += 1
+            needs_worker = self._workers < min(
+                self._unfinished, self.limits.max_running_health_checks
+            )
+        if needs_worker and not self._start_worker() and not self._workers:
+            self._finish()
+            self.inbox.post(self.core.on_health_check_result, server, False, [])
+            return
+        self._queue.put((server, address))
+
+    def _start_worker(self) -> bool:
+        """Start one more thread; return whether the system could."""
         try:
-            start_thread(lambda: self._run_in_slot(server, address), name="health_check")
+            start_thread(self._run_checks, self.limits.fault_pause, name="health_check")
         except RuntimeError:
-            self.inbox.post(self.core.on_health_check_result, server, False, [])
+            return False
+        self._workers += 1
+        return True
+
+    def _finish(self) -> None:
+        with self._count_lock:
+            self._unfinished -= 1
 
     def close_idle(self) -> None:
         """Close the kept connections, since another process checks from now on."""
@@ -77,10 +101,14 @@
                 connection.sock.close()
             self._idle.clear()
 
-    def _run_in_slot(self, server: Server, address: Address) -> None:
-        """Run the check once there are descriptors for it; its timeout starts then."""
-        with self._slots:
-            self._run(server, address)
+    def _run_checks(self) -> None:
+        """Run one queued check after the other; the timeout of each starts with it."""
+        while True:
+            server, address = self._queue.get()
+            try:
+                self._run(server, address)
+            finally:
+                self._finish()
 
     def _run(self, server: Server, address: Address) -> None:
         answer = HealthCheckAnswer(False, [])
@@ -140,13 +168,19 @@
 
     def _request_health(self, sock: socket.socket, deadline: int) -> HealthCheckAnswer:
         def limit_read() -> None:
-            """Set the timeout of the next operation so that it ends at the deadline."""
-            sock.settimeout(self._remaining(deadline) / SECOND)
+            """Set the timeout of the next read so that it ends at the deadline."""
+            timeout = timeval(max(self._remaining(deadline), MICROSECOND))  # 0 is no limit
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeout)
 
         lines = LineParser(self.limits.max_line_bytes)
-        limit_read()
+        # The kernel limits the time of a read. A timeout of the socket object would cost a poll
+        # more for each call; the few bytes that are sent fit into the empty send buffer.
+        sock.settimeout(None)
         sock.sendall(b"STATS\r\n" if self.load_fields else b"PING\r\n")
-        line = receive_line(sock, lines, self.limits.max_line_bytes, limit_read)
+        try:
+            line = receive_line(sock, lines, self.limits.max_line_bytes, limit_read)
+        except BlockingIOError:
+            raise TimeoutError from None
         if line is None:
             raise ConnectionResetError
         word, _, report = line.decode("ascii", "replace").partition(" ")
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -1,12 +1,12 @@
 """Health checks: the rise/fall counter and the rate of checks."""
 
 from decision_helpers import establish_flows, settle
-from helpers import SimulatedHost
+from helpers import SimulatedHost, present
 
 from cypresswalk.decisions.hashing import hash_number
-from cypresswalk.decisions.health import FALL, RISE, is_up
+from cypresswalk.decisions.health import FALL, HEALTHY_INTERVAL, LARGE_FLEET, RISE, is_up
 from cypresswalk.decisions.maglev import TABLE_SIZE
-from cypresswalk.model import SECOND, EndpointUpdate, Server
+from cypresswalk.model import SECOND, EndpointUpdate, Server, ServerState
 
 
 def test_server_goes_down_after_fall_failures_and_up_after_rise_passes():
@@ -125,3 +125,72 @@
     unanswered = host.arrive(key=flow.key + 1)
     host.pass_time(SECOND // 10)
     assert unanswered.server is not None, "an unanswered check kept the flow queued"
+
+
+def pass_all_checks(host, seconds):
+    """Let time pass and all checks pass; return how many there were."""
+    passed = 0
+    for _ in range(int(seconds * 20)):
+        host.pass_time(SECOND // 20)
+        for server in list(host.health_checks):
+            host.answer_health_check(server, True)
+            passed += 1
+    return passed
+
+
+def test_large_fleet_is_checked_no_more_often_than_its_limit():
+    # 2,000 servers beside 40 flows a second had up to 575 checks a second, nearly each of them
+    # with a new connection: five times the usual fleet's connections, and half of the processor.
+    servers = 4 * LARGE_FLEET
+    host = SimulatedHost(servers, health_check_price=0.002)
+    seconds = 40
+    # Beside the limit, the second check of each server comes soon after its first one.
+    assert (
+        pass_all_checks(host, seconds)
+        <= seconds * LARGE_FLEET * SECOND / HEALTHY_INTERVAL + servers
+    )
+
+
+def test_failure_in_a_large_fleet_is_confirmed_in_real_time():
+    # At the pace at which the servers of a large fleet are checked, it would take half a minute.
+    host = SimulatedHost(4 * LARGE_FLEET)
+    pass_all_checks(host, 60)
+    while not host.health_checks:
+        host.pass_time(SECOND // 20)
+    server = host.health_checks[0]
+    failed_at = host.now
+    while is_up(server):
+        for checked in list(host.health_checks):
+            host.answer_health_check(checked, checked is not server)
+        host.pass_time(SECOND // 20)
+    assert host.now - failed_at <= (FALL - 1) * 1.2 * SECOND
+
+
+def test_new_server_of_a_large_fleet_is_checked_within_two_seconds():
+    host = SimulatedHost(4 * LARGE_FLEET)
+    pass_all_checks(host, 20)
+    host.update_endpoints(EndpointUpdate.DELTA, [Server(5 + 13 * i) for i in range(50)])
+    pass_all_checks(host, 2)
+    assert all(is_up(host.balancer.servers[5 + 13 * i]) for i in range(50))
+
+
+def test_draining_server_of_a_large_fleet_is_checked_while_it_has_flows_and_once_it_is_back():
+    host = SimulatedHost(2 * LARGE_FLEET)
+    pass_all_checks(host, 30)
+    flow = host.arrive()
+    host.accept(flow)
+    busy = present(flow.server)
+    idle = next(server for server in host.balancer.servers.values() if server is not busy)
+    drained = [Server(s.id, s.zone, s.cell, state=ServerState.DRAINING) for s in (idle, busy)]
+    host.update_endpoints(EndpointUpdate.DELTA, drained)
+    checked = set()
+    for _ in range(400):
+        host.pass_time(SECOND // 10)
+        checked |= set(host.health_checks)
+        for server in list(host.health_checks):
+            host.answer_health_check(server, True)
+    assert busy in checked
+    assert idle not in checked
+    host.update_endpoints(EndpointUpdate.DELTA, [Server(idle.id, idle.zone, idle.cell)])
+    host.pass_time(SECOND // 10)
+    assert idle in host.health_checks
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -284,7 +284,7 @@
 def test_work_for_a_flow_does_not_grow_with_the_servers_that_warm_up(monkeypatch):
     # With 1,200 of 2,000 servers warming up, a flow took 13 ms of processor time: a hash for each
     # of them, and both pools' tables built anew after each health check that a new server passed.
-    calls = Counter()
+    calls: Counter[str] = Counter()
 
     def counted(module, name):
         function = getattr(module, name)
