Flow ids: the id of an open connection is known however many came since

Cause: Core.on_open asked only whether an id was among the latest 8,192 that had arrived. Evidence: 8,300 requests at 77 a second take 108 s, and an id in the memory is refused; no other place asks for an id.

Change: FlowIds keeps ids of open connections (bounded by descriptors), ids that servers had and that ended, and ids that arrived, 8,192 each. Related path: a successor was told the latest 8,192 ids only; a message open_ids names those open at the predecessor, which older versions ignore.

Why it works: a session gives its id back where it finishes, at one place; what clients make up pushes out neither open nor ended ids of servers.

Three tests failed before: two of test_core.py (KeyError: the client was being placed; BUSY for ERR) and successor_refuses (the same). The golden sample of the handover is unchanged; the new message has a sample of its own.

--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from collections import OrderedDict
 from collections.abc import Callable
 
 from cypresswalk.decisions.balancer import Balancer
@@ -32,6 +31,7 @@
 from cypresswalk.net.counters import Counters
 from cypresswalk.net.delay_gauge import DelayGauge
 from cypresswalk.net.endpoints import EndpointTable
+from cypresswalk.net.flow_ids import FlowIds
 from cypresswalk.net.lifecycle import Lifecycle, Phase
 from cypresswalk.net.limits import MILLISECOND
 from cypresswalk.net.logs import event
@@ -85,7 +85,8 @@
         self.load_reports = LoadReportParser(config.reports_load, config.reports_delay, self.limits)
         self.balancer = policy(config.settings, config.seed, now)
         self.sessions: dict[Flow, Session] = {}  # flows that are being placed or established
-        self.seen_ids: OrderedDict[int, None] = OrderedDict()  # recent flow ids, oldest first
+        self.flow_ids = FlowIds(self.limits.max_remembered_flows)
+        self.seen_ids = self.flow_ids.arrived  # the ids that arrived last, oldest first
         self.delay_gauges: dict[int, DelayGauge] = {}  # by `Server.id`
         self.timers = Timers()
         self.extensions = Extensions()
@@ -125,12 +126,10 @@
             return
         flow_id = stable_hash(request.ident)
         # Each connection must use a new id: a repeated one must not disturb the flow that has it.
-        if flow_id in self.seen_ids:
+        if self.flow_ids.is_known(flow_id):
             self._refuse(now, session, "flow_twice", flow=request.ident)
             return
-        self.seen_ids[flow_id] = None
-        if len(self.seen_ids) > self.limits.max_remembered_flows:
-            self.seen_ids.popitem(last=False)
+        self.flow_ids.add(flow_id)
         session.request = request
         session.flow = flow = self._make_flow(now, request, flow_id, timeout - waited)
         if "at" in request.values:
@@ -328,7 +327,7 @@
         if self.extensions.fleet is not None:
             self.extensions.fleet.on_attempt_ended(attempt, outcome)
         if session.established:
-            session.finished = True
+            self._finish(session)
         else:
             session.attempt = None
         if flow not in self.sessions:
@@ -361,7 +360,7 @@
         """Handle the end of the client's connection, or its violation of the protocol."""
         if session.finished:
             return
-        session.finished = True
+        self._finish(session)
         if session.attempt is not None and not session.established:
             self.drivers.close_attempt(session.attempt)
         if session.has_flow:
@@ -395,14 +394,14 @@
         session = self.sessions.pop(flow)
         attempt = session.attempt
         assert attempt is not None  # since the session is established
-        session.finished = True
+        self._finish(session)
         self.counters.add("flows_moved")
         self.drivers.migrate(session)
         self.balancer.on_ended(now, flow, Outcome.CANCELLED, True, now - attempt.started_at)
 
     def end_session(self, now: int, session: Session, reply: bytes) -> None:
         """Send the only reply to a session that is not established, and finish it."""
-        session.finished = True
+        self._finish(session)
         if session.has_flow:
             self._finish_reservation(session)
             result = FAILED if reply == ERROR_REPLY else REJECTED
@@ -410,6 +409,12 @@
         self.drivers.send_reply(session, reply)
         self.timers.schedule(now + self.limits.linger_timeout, self._close, session)
 
+    def _finish(self, session: Session) -> None:
+        session.finished = True
+        if session.has_flow:
+            flow = session.flow
+            self.flow_ids.close(flow.id, attempted=bool(flow.attempts))
+
     def _close(self, now: int, session: Session) -> None:
         self.drivers.close_client(session)
 
--- a/cypresswalk/net/handover.py
+++ b/cypresswalk/net/handover.py
@@ -8,7 +8,7 @@
 process ends, the other one serves.
 
     successor: hello
-    predecessor: welcome (with the sockets), state, servers ..., ids ..., end
+    predecessor: welcome (with the sockets), state, servers ..., ids ..., open_ids ..., end
     either: call N        the other: done N
     predecessor, when stopped: state ... end, yours, then held N whenever that changes
     successor: mine
@@ -132,7 +132,9 @@
         match message:
             case {"state": dict(state)}:
                 self.state_receiver = StateReceiver(state)
-            case {"servers": list()} | {"ids": list()} if self.state_receiver is not None:
+            case {"servers": list()} | {"ids": list()} | {"open_ids": list()} if (
+                self.state_receiver is not None
+            ):
                 self.state_receiver.add(message)
             case {"end": _} if self.state_receiver is not None and self.is_successor:
                 received, self.state_receiver = self.state_receiver, None
@@ -190,6 +192,7 @@
         self.peer = None
         self.state_receiver = None
         self.peer_sessions = 0
+        self.core.flow_ids.on_predecessor_ended()
         for number in list(self.unconfirmed):
             self._on_confirmed(now, number, None)
         if self.is_successor:
--- a/cypresswalk/net/handover_state.py
+++ b/cypresswalk/net/handover_state.py
@@ -115,7 +115,8 @@
     list_version: int
     started: int  # start of the balancer, or of the process that it replaced, by that clock
     servers: list[ReceivedServer]
-    flow_ids: list[int]
+    flow_ids: list[int]  # that arrived or ended recently, the latter last
+    open_ids: list[int]  # of connections that are open at the predecessor
     sums: dict[str, DecayingSumState]  # by key of `Balancer.sums`
 
 
@@ -143,12 +144,18 @@
     ]
     for start in range(0, len(servers), SERVERS_PER_MESSAGE):
         yield {"servers": servers[start : start + SERVERS_PER_MESSAGE]}
-    ids = list(core.seen_ids)
-    for start in range(0, len(ids), IDS_PER_MESSAGE):
-        yield {"ids": ids[start : start + IDS_PER_MESSAGE]}
+    yield from id_messages("ids", core.flow_ids.recent())
+    # Versions that don't know this message ignore it.
+    yield from id_messages("open_ids", sorted(core.flow_ids.open))
     yield {"end": True}
 
 
+def id_messages(name: str, ids: list[int]) -> Iterator[dict[str, Any]]:
+    """Yield messages of one name that hold all ids, in order."""
+    for start in range(0, len(ids), IDS_PER_MESSAGE):
+        yield {name: ids[start : start + IDS_PER_MESSAGE]}
+
+
 def encode_sum(decaying: DecayingSum) -> list[float]:
     """Return a decaying sum's total and the time of its last update, nanoseconds."""
     return [decaying.total, decaying.updated_at]
@@ -177,11 +184,13 @@
         self.state = state
         self.servers: list[Any] = []
         self.ids: list[Any] = []
+        self.open_ids: list[Any] = []
 
     def add(self, message: dict[str, Any]) -> None:
         """Add a message with servers or ids."""
         self.servers += message.get("servers", [])
         self.ids += message.get("ids", [])
+        self.open_ids += message.get("open_ids", [])
 
     def decode(self) -> PredecessorState:
         """Return the whole state.
@@ -198,6 +207,7 @@
                 int(self.state["started"]),
                 [decode_server(encoded) for encoded in self.servers],
                 [int(ident) for ident in self.ids],
+                [int(ident) for ident in self.open_ids],
                 {key: decode_sum(sums[key]) for key in HANDED_OVER_SUMS if key in sums},
             )
         except (
@@ -284,8 +294,7 @@
     balancer.assume_retry_budget_spent(now)
     balancer.traffic.started_at = min(state.started + offset, now)
     balancer.on_servers_restored(now)
-    for ident in state.flow_ids[-core.limits.max_remembered_flows :]:
-        core.seen_ids[ident] = None
+    core.flow_ids.inherit(state.flow_ids, state.open_ids)
     core.lifecycle.update_readiness()
 
 
--- a/tests/net/test_core.py
+++ b/tests/net/test_core.py
@@ -7,6 +7,7 @@
 from helpers import endpoint_entry, present
 
 from cypresswalk.model import SECOND, Outcome, ServerState
+from cypresswalk.net.flow_ids import FlowIds
 from cypresswalk.net.parsers.lines import parse_open_request
 from cypresswalk.net.session import Session
 
@@ -57,6 +58,52 @@
     assert harness.drivers.answers[harness.open(1, values)] == ERROR
 
 
+def open_and_end(harness, count, first=100):
+    """Let `count` clients be served and leave."""
+    for attempt in harness.establish(count, first):
+        harness.deliver(harness.core.on_client_left, attempt.session)
+
+
+def test_id_of_an_open_connection_is_refused_however_many_came_since():
+    # A bad client with the id of a connection older than the latest 8,192 requests was served
+    # while that connection was open, and the id ran twice.
+    harness = CoreHarness()
+    standing = harness.establish(1, first=1)[0].session
+    resumed = harness.open(2, "c=view,t=north,d=99999,at=s-2")
+    open_and_end(harness, harness.core.limits.max_remembered_flows + 1)
+    for number in (1, 2):
+        assert harness.drivers.answers[harness.open(number)] == ERROR
+    assert standing in harness.core.sessions.values()
+    harness.deliver(harness.core.on_client_left, standing)
+    harness.deliver(harness.core.on_client_left, resumed)
+    assert harness.drivers.answers[harness.open(1)] == ERROR  # its end is recent
+
+
+def test_ids_that_clients_make_up_do_not_push_out_those_that_servers_had():
+    harness = CoreHarness()
+    open_and_end(harness, 1, first=1)
+    harness.update_endpoints(*(endpoint_entry(f"s-{i}", lifecycle="terminating") for i in range(3)))
+    for number in range(harness.core.limits.max_remembered_flows + 1):
+        assert harness.drivers.answers[harness.open(100 + number)] == BUSY
+    assert harness.drivers.answers[harness.open(1)] == ERROR
+
+
+def test_memory_of_ids_is_bounded_by_connections_and_its_limit():
+    ids = FlowIds(limit=3)
+    for number in range(10):
+        ids.add(number)
+    for number in range(5, 10):
+        ids.close(number, attempted=number % 2 == 0)
+        ids.close(number, attempted=True)
+    assert ids.open == set(range(5))
+    assert ids.recent() == [7, 8, 9, 6, 8]
+    ids.inherit(range(20, 30), open_elsewhere=[4, 11])
+    assert ids.is_known(11)
+    ids.on_predecessor_ended()
+    assert ids.is_known(11)
+    assert len(ids.recent()) <= 2 * 3
+
+
 def test_resumed_connection_goes_to_its_server_and_is_retried_there():
     harness = CoreHarness()
     session = harness.open(1, "c=view,t=north,d=99999,at=s-2")
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -269,6 +269,23 @@
     assert warming_up not in used
 
 
+def test_successor_refuses_ids_whose_connections_are_open_at_its_predecessor():
+    # It was told of the latest 8,192 ids only, and served bad clients with the id of an older
+    # connection that the predecessor still held.
+    predecessor = HandoverProcess()
+    standing = predecessor.establish(1, first=1)[0].session
+    for attempt in predecessor.establish(predecessor.core.limits.max_remembered_flows + 1, 100):
+        predecessor.deliver(predecessor.core.on_client_left, attempt.session)
+    successor = HandoverProcess(predecessor)
+    successor.exchange_all()
+    predecessor.stop()
+    successor.exchange_all()
+    assert standing in predecessor.core.sessions.values()
+    assert successor.drivers.answers[successor.open(1)] == ERROR
+    successor.lose_peer()
+    assert successor.drivers.answers[successor.open(1)] == ERROR
+
+
 def states(process: CoreHarness) -> tuple[ServerState, ServerState]:
     """Return the states of s-0 and s-1."""
     return process.server("s-0").state, process.server("s-1").state
--- a/tests/net/test_handover_state.py
+++ b/tests/net/test_handover_state.py
@@ -15,6 +15,7 @@
     receiver = StateReceiver(messages["state"])
     receiver.add({"servers": messages["servers"]})
     receiver.add({"ids": messages["ids"]})
+    receiver.add({"open_ids": messages["open_ids"]})
     return receiver.decode()
 
 
@@ -48,6 +49,7 @@
         lambda m: m["servers"][0].update(weight=0),
         lambda m: m["servers"][0].update(health=-1),
         lambda m: m["ids"].append("x"),
+        lambda m: m["open_ids"].append("x"),
         lambda m: m["servers"].append(7),
         lambda m: m["servers"][0].update(dealt=[float("inf"), 1]),
         lambda m: m["servers"][0].pop("name"),
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -290,12 +290,17 @@
     return sent
 
 
+# A message of later versions, which has a sample of its own beside that of the other messages.
+OPEN_IDS = '"open_ids"'
+
+
 def lines_of_all_kinds() -> dict[str, list[str]]:
     """Lines to servers, clients, operators, the list's source, peers and the successor."""
     harness = CoreHarness(servers=3)
     requests = [parse_open_request(text).encode(ATTEMPT_TIMEOUT_MS) for text in OPEN_REQUESTS]
     to_servers, to_clients = open_flows(harness)
     server = harness.server("s-1")
+    to_successor = handover_lines()
     return {
         "opening": [request.decode() for request in requests],
         "connects": to_servers,
@@ -303,7 +308,8 @@
         "hints": [pack_gossip(server, load).hex() for load in LOADS],
         "vars": [harness.core.metrics.render(harness.now).decode()],
         "list_request": [encode_get_request("127.0.0.1:9", "/v1/instances?since=7").decode()],
-        "beside": handover_lines(),
+        "beside": [line for line in to_successor if OPEN_IDS not in line],
+        "beside_open_ids": [line for line in to_successor if OPEN_IDS in line],
     }
 
 
