Health checks of a large fleet: only healthy servers are checked less often

Change: the schedule's clock is as in other fleets. Over 250 ready servers the interval of healthy ones is so long that they get two checks a flow, and a server that has passed twice counts as healthy. Failures are still confirmed in real time; draining servers without flows get no check.

--- a/cypresswalk/decisions/health.py
+++ b/cypresswalk/decisions/health.py
@@ -3,10 +3,9 @@
 The counter works like HAProxy's: a pass adds one, a failure subtracts one, and a server is up from
 RISE on. The jittered interval between checks depends on the counter. The schedule uses its own
 clock, which runs at normal speed if checks are cheap, and slower if this balancer's flows can't pay
-for checks at that rate, or if a large fleet would be checked more often than flows arrive.
+for checks at that rate. The healthy servers of a large fleet are checked less often.
 """
 
-import math
 from heapq import heappop, heappush
 
 from cypresswalk.decisions.hashing import Draws
@@ -22,9 +21,9 @@
 JITTER = 0.1  # of an interval
 FIRST_CHECK_JITTER = 0.9
 MAX_POINTS_PER_FLOW = 0.01  # limit on the cost of checks per flow, as a fraction of its value
-# Servers; a check of a larger fleet mostly needs a new connection, so its checks are limited, too.
+# Servers; a check of a larger fleet mostly needs a new connection, so healthy servers get fewer.
 LARGE_FLEET = 250
-MAX_CHECKS_PER_FLOW = 2  # of a large fleet: connections for checks per connection for a flow
+MAX_CHECKS_PER_FLOW = 2  # of the healthy servers of a large fleet
 MIN_FRACTION_SEEN = 0.02  # of the arrivals in a time constant, after which their rate is estimated
 NOT_SCHEDULED = -1  # `next_check_at` of a server that needs no checks
 
@@ -113,29 +112,22 @@
 
     def slowdown(self, now: int) -> float:
         """Return how many times slower than real time the schedule's clock runs, at least 1."""
-        price = self.settings.health_check_price
-        limited = self._large_fleet_slowdown(now)
-        if limited > 1:
-            affordable = (
-                self._arrival_rate(now) * MAX_POINTS_PER_FLOW / price if price else math.inf
-            )
-            return max(limited, self.ready_servers / HEALTHY_INTERVAL / affordable)
-        return self._price_slowdown(now)
-
-    def _price_slowdown(self, now: int) -> float:
-        """Return the slowdown by which this balancer's flows can pay for the checks, or 1."""
-        price = self.settings.health_check_price
-        if not price:
+        if not self.settings.health_check_price:
             return 1.0
-        affordable = self._traffic.arrival_rate(now) * MAX_POINTS_PER_FLOW / price
+        affordable = (
+            self._traffic.arrival_rate(now) * MAX_POINTS_PER_FLOW / self.settings.health_check_price
+        )
         return max(1.0, len(self._servers) / HEALTHY_INTERVAL / affordable)
 
-    def _large_fleet_slowdown(self, now: int) -> float:
-        """Return the slowdown by which a large fleet's checks are within their limit, or 1."""
+    def _healthy_interval(self, now: int) -> int:
+        """Return the interval between checks of a healthy server on the schedule's clock.
+
+        In a large fleet it is so long that checks stay within their limit.
+        """
         if self.ready_servers <= LARGE_FLEET:
-            return 1.0
+            return HEALTHY_INTERVAL
         allowed = max(LARGE_FLEET / HEALTHY_INTERVAL, MAX_CHECKS_PER_FLOW * self._arrival_rate(now))
-        return max(1.0, self.ready_servers / HEALTHY_INTERVAL / allowed)
+        return max(HEALTHY_INTERVAL, int(self.ready_servers / allowed / self.slowdown(now)))
 
     def _arrival_rate(self, now: int) -> float:
         """Return the estimated arrivals per nanosecond, also soon after the start."""
@@ -160,10 +152,6 @@
         """
         slowdown = self.slowdown(now)
         spread = (1 - 1 / slowdown) / slowdown if server.awaiting_first_pass else 1.0
-        if not server.awaiting_first_pass and self._large_fleet_slowdown(now) > 1:
-            spread = HEALTHY_INTERVAL / (
-                2 * FAST_INTERVAL
-            )  # the first round takes a whole interval
         clock = self.clock(now)
         wait = self._draws.jittered(FAST_INTERVAL, FIRST_CHECK_JITTER)
         self._schedule(server, clock + int(wait * spread))
@@ -185,27 +173,21 @@
     def schedule_next(self, now: int, server: Server) -> None:
         """Schedule the check that follows a recorded result.
 
-        In a large fleet that is checked seldom, a failure is confirmed in real time, and a new
-        server's second check comes as soon as in other fleets. After that a server that has passed
-        is checked no more often than a healthy one: first at a random moment, so that the checks of
-        servers that started together spread.
+        In a large fleet healthy servers are checked seldom. So a failure is confirmed in real time.
+        A server that has passed twice counts as healthy; its third check comes at a random moment,
+        so that the checks of servers that started together spread.
         """
-        jitter = JITTER
+        # One lost check must not keep out for long a server that never failed before.
+        interval, jitter = FAST_INTERVAL, JITTER
         if server.health == MAX_HEALTH:
-            interval = HEALTHY_INTERVAL
+            interval = self._healthy_interval(now)
         elif server.health == 0 and server.failed_checks >= FALL:
             interval = DOWN_INTERVAL
-        else:
-            # One lost check must not keep out for long a server that never failed before.
-            interval = FAST_INTERVAL
-            if self._large_fleet_slowdown(now) > 1:
-                if server.failed_checks:
-                    interval = int(FAST_INTERVAL / self.slowdown(now))
-                elif server.health > RISE:
-                    interval = HEALTHY_INTERVAL // 2
-                    jitter = FIRST_CHECK_JITTER
-                else:
-                    interval = int(FAST_INTERVAL * self._price_slowdown(now) / self.slowdown(now))
+        elif self.ready_servers > LARGE_FLEET:
+            if server.failed_checks:
+                interval = int(FAST_INTERVAL / self.slowdown(now))
+            elif server.health > RISE:
+                interval, jitter = self._healthy_interval(now) // 2, FIRST_CHECK_JITTER
         clock = self.clock(now)
         self._schedule(server, clock + self._draws.jittered(interval, jitter))
 
