Servers that have been gone for long are removed, and slow no health checks down

Cause: Balancer.servers, the addresses and the delay gauges held all that the list had ever named, and the pace of checks counted all of them.

Change: the pace counts listed servers. With a change of the list, at most once a minute, servers gone for ten minutes are removed, unless they have flows or a check in flight or are out by hand; the core forgets address and gauge. set-down of a server that is gone works for ten minutes.

--- a/cypresswalk/decisions/balancer.py
+++ b/cypresswalk/decisions/balancer.py
@@ -80,7 +80,8 @@
 
     Attributes:
         settings: the settings in force; change them by `on_settings`.
-        servers: all servers that the endpoint list has ever named, by id; read-only for hosts.
+        servers: all servers of the endpoint list and those that are gone for a short time, by id;
+            read-only for hosts.
         flows: all flows that this balancer holds, by id; read-only for hosts.
     """
 
@@ -99,9 +100,7 @@
         self.traffic = Traffic(now)
         self.reviews = Reviews(now)
         self.warm_up = WarmUp(settings)
-        self.health_checks = HealthCheckSchedule(
-            settings, self.servers, self.traffic, self.draws, now
-        )
+        self.health_checks = HealthCheckSchedule(settings, self.traffic, self.draws, now)
         self.gossip = Gossip(settings, self.traffic, self.draws, now)
         self.limits = ConcurrencyLimits(self.warm_up, self.reviews)
         self.overload = OverloadControl(
@@ -198,6 +197,16 @@
         self._mark_servers_stale(now)
         self.reviews.next_at = now
 
+    def remove_gone_servers(self, now: int) -> list[int]:
+        """Remove servers that have been gone for long; return their ids, for the host's own state.
+
+        Without it a balancer that runs for weeks beside releases would keep all that ever were.
+        """
+        removed = self._endpoints.remove_gone(now)
+        if removed:
+            self._mark_servers_stale(now)
+        return removed
+
     def remove_from_rotation(self, now: int, server: Server) -> None:
         """Take a server out of rotation for an operator, whatever the list says of it."""
         if self._endpoints.remove_from_rotation(now, server):
--- a/cypresswalk/decisions/health.py
+++ b/cypresswalk/decisions/health.py
@@ -78,27 +78,25 @@
 
     Args:
         settings: the deployment's settings.
-        servers: all servers that the list has ever named, by id.
         traffic: the arrivals at this balancer, which pay for checks.
         draws: the random numbers for the jitter.
         now: the current time in nanoseconds.
 
     Attributes:
-        ready_servers: the number of servers that the list names as ready.
+        listed_servers: the number of servers that the list names.
+        ready_servers: the number of these that are ready.
         requested: servers to check right away for waiting flows; the last one is checked first.
     """
 
     def __init__(
         self,
         settings: Settings,
-        servers: dict[int, Server],
         traffic: Traffic,
         draws: Draws,
         now: int,
     ):
         """Start without scheduled checks."""
         self.settings = settings
-        self._servers = servers
         self._traffic = traffic
         self._draws = draws
         self._clock = 0
@@ -107,6 +105,7 @@
         self._entries = 0
         self._rate = 0.0  # of arrivals, as last computed
         self._rate_read_at = -1
+        self.listed_servers = 0
         self.ready_servers = 0
         self.requested: list[Server] = []
 
@@ -117,7 +116,7 @@
         affordable = (
             self._traffic.arrival_rate(now) * MAX_POINTS_PER_FLOW / self.settings.health_check_price
         )
-        return max(1.0, len(self._servers) / HEALTHY_INTERVAL / affordable)
+        return max(1.0, self.listed_servers / HEALTHY_INTERVAL / affordable)
 
     def _healthy_interval(self, now: int) -> int:
         """Return the interval between checks of a healthy server on the schedule's clock.
--- a/cypresswalk/decisions/overload.py
+++ b/cypresswalk/decisions/overload.py
@@ -24,7 +24,7 @@
 
     Args:
         settings: the deployment's settings.
-        servers: all servers that the list has ever named, by id.
+        servers: all servers that the balancer knows, by id.
         flows: all flows that this balancer holds.
         limits: the servers' concurrency limits.
         gossip: the messages to the other balancers.
--- a/cypresswalk/decisions/placement.py
+++ b/cypresswalk/decisions/placement.py
@@ -57,7 +57,7 @@
 
     Args:
         settings: the deployment's settings.
-        servers: all servers that the list has ever named, by id.
+        servers: all servers that the balancer knows, by id.
         flows: all flows that this balancer holds.
         admission: the rule that decides which servers may get a flow.
         warm_up: the warm-up state of the servers.
--- a/cypresswalk/decisions/slow_start.py
+++ b/cypresswalk/decisions/slow_start.py
@@ -96,7 +96,7 @@
 
     Args:
         settings: the deployment's settings.
-        servers: all servers that the list has ever named, by id.
+        servers: all servers that the balancer knows, by id.
         flows: all flows that this balancer holds.
         traffic: the arrivals and completions of this balancer.
         limits: the servers' concurrency limits.
--- a/cypresswalk/model.py
+++ b/cypresswalk/model.py
@@ -127,6 +127,7 @@
     weight: float = 1.0
     started_at: int = 0  # time of its latest start; 0: long ago
     state: ServerState = ServerState.READY
+    gone_since: int = 0  # set while the list names the server no more
 
     # Health checks.
     health: int = 0  # rise/fall counter, see decisions/health.py
--- a/cypresswalk/net/core.py
+++ b/cypresswalk/net/core.py
@@ -470,6 +470,9 @@
             entries = self.endpoints.withhold_returning(now, entries)
         servers = self.endpoints.accept(entries)
         self.balancer.on_endpoints(now, update, servers)
+        for number in self.balancer.remove_gone_servers(now):
+            self.endpoints.forget(number)
+            self.delay_gauges.pop(number, None)
         self.lifecycle.update_readiness()
         if update is not EndpointUpdate.DELTA or any(
             server.state is not ServerState.READY for server in servers
--- a/cypresswalk/net/endpoints.py
+++ b/cypresswalk/net/endpoints.py
@@ -44,6 +44,11 @@
             self.addresses[server.id] = address
         return [server for server, _ in entries]
 
+    def forget(self, number: int) -> None:
+        """Forget a server that was removed from the decisions."""
+        self.addresses.pop(number, None)
+        self.withheld.pop(number, None)
+
     def withhold_returning(self, now: int, entries: list[Endpoint]) -> list[Endpoint]:
         """Return the entries of an older list that may be applied now, and withhold the others.
 
--- a/tests/net/test_core.py
+++ b/tests/net/test_core.py
@@ -6,6 +6,7 @@
 from core_helpers import CLIENT_TIMEOUT, NO_CLIENT, UP, CoreHarness
 from helpers import endpoint_entry, present
 
+from cypresswalk.decisions.endpoints import GONE_RETENTION
 from cypresswalk.model import SECOND, Outcome, ServerState
 from cypresswalk.net.flow_ids import FlowIds
 from cypresswalk.net.parsers.lines import parse_open_request
@@ -276,3 +277,22 @@
         assert server_now.state is ServerState.READY
     else:
         assert server_now is attempt.server
+
+
+def test_address_of_a_server_that_is_gone_for_long_is_forgotten():
+    harness = CoreHarness()
+    harness.establish(6)
+    for attempt in list(harness.drivers.relayed.values()):
+        harness.deliver(harness.core.on_client_left, attempt.session)
+    gone = harness.server("s-0").id
+    others = [endpoint_entry("s-1"), endpoint_entry("s-2")]
+    harness.update_endpoints(*others, reset=True)
+    for server in harness.drivers.health_checks:
+        harness.deliver(harness.core.on_health_check_result, server, True, [])
+    harness.now += GONE_RETENTION + SECOND
+    assert gone in harness.core.endpoints.addresses
+    harness.update_endpoints(*others, reset=True, generation=3)
+    assert gone not in harness.core.endpoints.addresses
+    assert gone not in harness.core.delay_gauges
+    harness.update_endpoints(endpoint_entry("s-0"), *others, reset=True, generation=4)
+    assert harness.server("s-0").state is ServerState.READY
